--- /dev/null
+++ b/cli/src/main/kotlin/mustarddale/cli/ConfigCommand.kt
@@ -0,0 +1,67 @@
+package mustarddale.cli
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.serialization.builtins.ListSerializer
+import mustarddale.cli.internal.readFile
+import mustarddale.config.ConfigurationChange
+import mustarddale.config.ConfigurationFormat
+import mustarddale.control.AuditEntry
+import mustarddale.error.Outcome
+import mustarddale.instance.operator.ConfigurationAnswer
+
+/** Shows and replaces the configuration, and shows its history. */
+@OptIn(ExperimentalCli::class)
+internal class ConfigCommand :
+    Subcommand("config", "Show, replace or trace the configuration. Example: config get") {
+    init {
+        subcommands(Get(), Submit(), History())
+    }
+
+    override fun execute() = Unit
+
+    private class Get : OperatorCommand("get", "Print the revision and the document") {
+        override fun execute() {
+            val answer = ConfigurationFormat.json.decodeFromString(
+                ConfigurationAnswer.serializer(),
+                client.read("/configuration")
+            )
+            System.err.println("revision ${answer.revision}")
+            println(ConfigurationFormat.write(answer.configuration))
+        }
+    }
+
+    private class Submit :
+        OperatorCommand(
+            "submit",
+            "Replace the document. Example: config submit new.json 7"
+        ) {
+        private val file by argument(ArgType.String, description = "The document (JSON)")
+        private val base by argument(ArgType.Int, description = "The revision it is based on")
+
+        override fun execute() {
+            val document = when (val outcome = ConfigurationFormat.read(readFile(file))) {
+                is Outcome.Success -> outcome.value
+                is Outcome.Failure -> fail(file, outcome.refusal)
+            }
+            println(client.change(ConfigurationChange.Replace(document), base.toLong()))
+        }
+    }
+
+    private class History : OperatorCommand("history", "Print the audit trail") {
+        override fun execute() {
+            val entries = ConfigurationFormat.json.decodeFromString(
+                ListSerializer(AuditEntry.serializer()),
+                client.read("/audit")
+            )
+            entries.forEach { println(line(it)) }
+        }
+
+        private fun line(entry: AuditEntry): String {
+            val time = java.time.Instant.ofEpochMilli(entry.atMillis)
+            val end = entry.revision?.let { "revision $it" } ?: "refused: ${entry.refusedBecause}"
+            return "$time ${entry.operator}: ${entry.change} -> $end"
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/mustarddale/cli/ExitCode.kt
@@ -0,0 +1,28 @@
+package mustarddale.cli
+
+import kotlin.system.exitProcess
+import mustarddale.error.Refusal
+
+/** How the program ends. */
+public enum class ExitCode(public val code: Int) {
+    /** All is done. */
+    DONE(0),
+
+    /** What was asked for was refused, or a check failed. */
+    REFUSED(1),
+
+    /** The instance or a file could not be reached. */
+    UNREACHABLE(2),
+
+    /** The command line is wrong; kotlinx-cli ends with this code too. */
+    USAGE(127)
+}
+
+/** Prints [message] as an error and ends with [code]. */
+internal fun fail(message: String, code: ExitCode = ExitCode.REFUSED): Nothing {
+    System.err.println("${Program.NAME}: $message")
+    exitProcess(code.code)
+}
+
+/** Prints [refusal] of what [source] holds and ends. */
+internal fun fail(source: String, refusal: Refusal): Nothing = fail("$source: ${refusal.message}")
--- /dev/null
+++ b/cli/src/main/kotlin/mustarddale/cli/Main.kt
@@ -0,0 +1,30 @@
+package mustarddale.cli
+
+import kotlin.system.exitProcess
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import mustarddale.cli.demo.DemoCommand
+
+/** Runs the command that [arguments] name. */
+@OptIn(ExperimentalCli::class)
+public fun main(arguments: Array<String>) {
+    System.setProperty("com.linecorp.armeria.transportType", "epoll")
+    val parser = ArgParser(Program.NAME)
+    parser.subcommands(
+        ServeCommand(),
+        CheckCommand(),
+        ConfigCommand(),
+        KeyCommand(),
+        DomainCommand(),
+        ServerCommand(),
+        StatusCommand(),
+        StandInCommand(),
+        DemoCommand(),
+        VersionCommand()
+    )
+    if (arguments.isEmpty()) {
+        parser.parse(arrayOf("--help"))
+        exitProcess(ExitCode.USAGE.code)
+    }
+    parser.parse(arguments)
+}
--- /dev/null
+++ b/cli/src/main/kotlin/mustarddale/cli/Program.kt
@@ -0,0 +1,7 @@
+package mustarddale.cli
+
+/** The name and the version of the program. */
+internal object Program {
+    const val NAME = "mustarddale"
+    const val VERSION = "0.1.0"
+}
--- /dev/null
+++ b/cli/src/main/kotlin/mustarddale/cli/internal/Files.kt
@@ -0,0 +1,14 @@
+package mustarddale.cli.internal
+
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import mustarddale.cli.ExitCode
+import mustarddale.cli.fail
+
+/** Reads the file at [path], or ends the program with a clear error. */
+internal fun readFile(path: String): String = try {
+    Files.readString(Path.of(path))
+} catch (e: IOException) {
+    fail("cannot read $path: ${e.message}", ExitCode.UNREACHABLE)
+}
--- /dev/null
+++ b/cli/src/main/launcher/launcher.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec java -XX:+UseSerialGC -jar "$0" "$@"
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/error/Outcome.kt
@@ -0,0 +1,24 @@
+package mustarddale.error
+
+/** The result of an operation that can be refused. */
+public sealed interface Outcome<out T> {
+    /** The operation gave [value]. */
+    public data class Success<T>(public val value: T) : Outcome<T>
+
+    /** The operation was refused. */
+    public data class Failure(public val refusal: Refusal) : Outcome<Nothing>
+}
+
+/** Returns the failure for [kind]. */
+public fun failure(
+    kind: ErrorKind,
+    message: String,
+    field: String? = null,
+    retryAfterMillis: Long? = null
+): Outcome.Failure = Outcome.Failure(Refusal(kind, message, field, retryAfterMillis))
+
+/** Applies [next] to the value of a success and passes a failure on. */
+public inline fun <T, R> Outcome<T>.then(next: (T) -> Outcome<R>): Outcome<R> = when (this) {
+    is Outcome.Success -> next(value)
+    is Outcome.Failure -> this
+}
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/memory/MemoryLedger.kt
@@ -0,0 +1,307 @@
+/*
+ * What may be in the accelerator memory of each engine. An artifact (a model or an adapter) counts
+ * from the record of its load order, before the order is sent, until an unload is seen done. An
+ * order message without an outcome may still land, so it keeps its artifact counted, unless the
+ * engine checks fencing numbers and has applied a later order.
+ */
+package mustarddale.memory
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.serialization.Serializable
+import mustarddale.config.BackendServer
+import mustarddale.config.ConfigurationIndex
+import mustarddale.control.ControlRecord.OrderAnswered
+import mustarddale.control.ControlRecord.OrderProposed
+import mustarddale.control.ControlRecord.ResidencyObserved
+import mustarddale.error.ErrorKind
+import mustarddale.error.Outcome
+import mustarddale.error.failure
+
+/** What an order asks an engine to do. */
+@Serializable
+public enum class OrderKind { LOAD, UNLOAD }
+
+/** An artifact that an engine holds memory for. */
+@Serializable
+public data class HeldArtifact(public val name: String, public val memoryBytes: Long)
+
+/** The newest load report of [server] that the ledger has taken in. */
+@Serializable
+public data class ReportMark(
+    public val server: String,
+    public val bootNumber: Long,
+    public val reportSequence: Long
+)
+
+/** How far an artifact is in its life on one engine. */
+@Serializable
+public enum class Residency {
+    /** A load order may have been sent. */
+    LOADING,
+
+    /** A report showed that the engine holds memory for it. */
+    RESIDENT,
+
+    /** An unload order may have been sent; it gets no new requests. */
+    UNLOADING,
+
+    /** It was seen unloaded, but an earlier load order may still land. */
+    UNRESOLVED
+}
+
+/**
+ * One artifact that counts on one engine.
+ *
+ * @property memoryBytes what it takes, as configured when it was ordered or first seen.
+ * @property openLoads offsets of load orders whose message has no known outcome.
+ * @property orderOffset offset of the newest order, which is its fencing number.
+ * @property orderedAtMillis when the log took the newest order.
+ */
+@Serializable
+public data class LedgerEntry(
+    public val server: String,
+    public val artifact: String,
+    public val memoryBytes: Long,
+    public val residency: Residency,
+    public val openLoads: List<Long>,
+    public val orderOffset: Long,
+    public val orderedAtMillis: Long
+)
+
+/** The key of a [LedgerEntry]. */
+public data class Place(public val server: String, public val artifact: String)
+
+/** The memory of all engines. */
+public data class MemoryLedger(
+    private val byPlace: PersistentMap<Place, LedgerEntry> = persistentMapOf(),
+    private val marks: PersistentMap<String, ReportMark> = persistentMapOf()
+) {
+    /** The newest report of each engine. */
+    public fun reports(): List<ReportMark> = marks.values.toList()
+
+    /** All entries. */
+    public fun entries(): List<LedgerEntry> = byPlace.values.toList()
+
+    /** The entries of [server]. */
+    public fun entries(server: String): List<LedgerEntry> =
+        byPlace.values.filter { it.server == server }
+
+    /** The entry of [artifact] on [server]. */
+    public fun find(server: String, artifact: String): LedgerEntry? =
+        byPlace[Place(server, artifact)]
+
+    /** The most that can be resident on [server], whatever orders still land. */
+    public fun committedBytes(server: String): Long = entries(server).sumOf { it.memoryBytes }
+
+    /** Takes an order on, if the engine has room for it whatever else still lands. */
+    public fun propose(
+        order: OrderProposed,
+        index: ConfigurationIndex,
+        offset: Long,
+        logTimeMillis: Long
+    ): Outcome<MemoryLedger> {
+        val server = index.server(order.server)
+            ?: return refuse("there is no backend server ${order.server}")
+        return when (order.kind) {
+            OrderKind.LOAD -> proposeLoad(order, server, index, offset, logTimeMillis)
+            OrderKind.UNLOAD -> proposeUnload(order, offset, logTimeMillis)
+        }
+    }
+
+    /** Notes that the message of an order arrived and was taken or refused. */
+    public fun answer(record: OrderAnswered): MemoryLedger {
+        val entry = find(record.server, record.artifact) ?: return this
+        val resolved = entry.copy(openLoads = entry.openLoads - record.orderOffset)
+        val wasRefused = !record.accepted && entry.orderOffset == record.orderOffset
+        if (!wasRefused) return put(dropIfUnresolved(resolved), entry)
+        return when (entry.residency) {
+            Residency.LOADING -> put(dropIfUnresolved(asUnresolved(resolved)), entry)
+            Residency.UNLOADING -> put(resolved.copy(residency = Residency.RESIDENT), entry)
+            else -> put(resolved, entry)
+        }
+    }
+
+    /** Takes in what a report shows, unless a newer report of that engine was taken in before. */
+    public fun observe(record: ResidencyObserved, index: ConfigurationIndex): MemoryLedger {
+        val server = index.server(record.server) ?: return this
+        if (isOld(record)) return this
+        val held = record.held.associateBy { it.name }
+        val known = entries(record.server).fold(this) { ledger, entry ->
+            val settled = settleLoads(entry, record, server)
+            ledger.put(observeEntry(settled, held[entry.artifact], record), entry)
+        }
+        val complete = record.held.fold(known) { ledger, artifact ->
+            ledger.addSeen(record, artifact)
+        }
+        val mark = ReportMark(record.server, record.bootNumber, record.reportSequence)
+        return complete.copy(marks = marks.put(record.server, mark))
+    }
+
+    private fun isOld(record: ResidencyObserved): Boolean {
+        val mark = marks[record.server] ?: return false
+        if (record.bootNumber != mark.bootNumber) return record.bootNumber < mark.bootNumber
+        return record.reportSequence <= mark.reportSequence
+    }
+
+    private fun settleLoads(
+        entry: LedgerEntry,
+        record: ResidencyObserved,
+        server: BackendServer
+    ): LedgerEntry {
+        val open = if (server.checksFencing) {
+            entry.openLoads.filter { it > record.appliedFence }
+        } else {
+            entry.openLoads - record.appliedFence
+        }
+        return entry.copy(openLoads = open)
+    }
+
+    private fun proposeLoad(
+        order: OrderProposed,
+        server: BackendServer,
+        index: ConfigurationIndex,
+        offset: Long,
+        logTimeMillis: Long
+    ): Outcome<MemoryLedger> {
+        val entry = find(order.server, order.artifact)
+        loadRefusal(order, entry, index, logTimeMillis)?.let { return it }
+        val bytes = Artifacts.memoryBytes(index, server.service, order.artifact)
+            ?: return refuse("${order.artifact} is not served by ${server.service}")
+        val counted = entry?.memoryBytes ?: 0
+        val needed = maxOf(bytes, counted)
+        val room = server.memoryBytes - committedBytes(order.server) + counted
+        if (needed > room) {
+            return refuse("${order.artifact} needs $needed bytes, ${order.server} has $room")
+        }
+        val next = LedgerEntry(
+            server = order.server,
+            artifact = order.artifact,
+            memoryBytes = needed,
+            residency = Residency.LOADING,
+            openLoads = entry?.openLoads.orEmpty() + offset,
+            orderOffset = offset,
+            orderedAtMillis = logTimeMillis
+        )
+        return Outcome.Success(put(next, entry))
+    }
+
+    private fun loadRefusal(
+        order: OrderProposed,
+        entry: LedgerEntry?,
+        index: ConfigurationIndex,
+        logTimeMillis: Long
+    ): Outcome.Failure? = when {
+        order.server !in marks -> refuse("no report of ${order.server} was seen yet")
+
+        entry != null && entry.residency !in MAY_LOAD ->
+            refuse("${order.artifact} is ${entry.residency} on ${order.server}")
+
+        else -> pacingRefusal(order, index, logTimeMillis)
+    }
+
+    private fun pacingRefusal(
+        order: OrderProposed,
+        index: ConfigurationIndex,
+        logTimeMillis: Long
+    ): Outcome.Failure? {
+        val loading = byPlace.values.filter {
+            it.residency == Residency.LOADING &&
+                logTimeMillis - it.orderedAtMillis < LOADING_BELIEVED_MILLIS
+        }
+        if (loading.any { it.artifact == order.artifact }) {
+            return refuse("${order.artifact} is being loaded")
+        }
+        val isAdapter = index.models[order.artifact]?.adapter != null
+        val limits = index.configuration.limits
+        val limit = if (isAdapter) limits.adapterLoadsAtOnce else limits.modelLoadsAtOnce
+        val sameKind = loading.count { (index.models[it.artifact]?.adapter != null) == isAdapter }
+        return if (sameKind >= limit) refuse("$sameKind loads are under way") else null
+    }
+
+    private fun proposeUnload(
+        order: OrderProposed,
+        offset: Long,
+        logTimeMillis: Long
+    ): Outcome<MemoryLedger> {
+        val entry = find(order.server, order.artifact)
+            ?: return refuse("${order.artifact} is not on ${order.server}")
+        if (entry.residency !in setOf(Residency.RESIDENT, Residency.UNLOADING)) {
+            return refuse("${order.artifact} is ${entry.residency} on ${order.server}")
+        }
+        val next = entry.copy(
+            residency = Residency.UNLOADING,
+            orderOffset = offset,
+            orderedAtMillis = logTimeMillis
+        )
+        return Outcome.Success(put(next, entry))
+    }
+
+    private fun observeEntry(
+        entry: LedgerEntry,
+        held: HeldArtifact?,
+        record: ResidencyObserved
+    ): LedgerEntry? {
+        val isApplied = record.appliedFence >= entry.orderOffset
+        if (held != null) return observeHeld(entry, held)
+        return when (entry.residency) {
+            Residency.RESIDENT -> dropIfUnresolved(asUnresolved(entry))
+
+            Residency.UNLOADING ->
+                if (isApplied) dropIfUnresolved(asUnresolved(entry)) else entry
+
+            Residency.LOADING -> entry.takeUnless { isApplied && entry.openLoads.isEmpty() }
+
+            Residency.UNRESOLVED -> dropIfUnresolved(entry)
+        }
+    }
+
+    private fun observeHeld(entry: LedgerEntry, held: HeldArtifact): LedgerEntry {
+        val bytes = maxOf(entry.memoryBytes, held.memoryBytes)
+        val isLeaving = entry.residency == Residency.UNLOADING
+        val residency = if (isLeaving) Residency.UNLOADING else Residency.RESIDENT
+        return entry.copy(memoryBytes = bytes, residency = residency)
+    }
+
+    private fun addSeen(record: ResidencyObserved, held: HeldArtifact): MemoryLedger {
+        if (find(record.server, held.name) != null) return this
+        val entry = LedgerEntry(
+            server = record.server,
+            artifact = held.name,
+            memoryBytes = held.memoryBytes,
+            residency = Residency.RESIDENT,
+            openLoads = emptyList(),
+            orderOffset = 0,
+            orderedAtMillis = 0
+        )
+        return put(entry, null)
+    }
+
+    private fun asUnresolved(entry: LedgerEntry): LedgerEntry =
+        entry.copy(residency = Residency.UNRESOLVED)
+
+    private fun dropIfUnresolved(entry: LedgerEntry): LedgerEntry? =
+        entry.takeUnless { it.residency == Residency.UNRESOLVED && it.openLoads.isEmpty() }
+
+    private fun put(next: LedgerEntry?, before: LedgerEntry?): MemoryLedger = when {
+        next != null -> copy(byPlace = byPlace.put(Place(next.server, next.artifact), next))
+        before != null -> copy(byPlace = byPlace.remove(Place(before.server, before.artifact)))
+        else -> this
+    }
+
+    public companion object {
+        /** After this time a load that was not seen done no longer holds up others. */
+        private const val LOADING_BELIEVED_MILLIS = 30_000L
+        private val MAY_LOAD = setOf(Residency.LOADING, Residency.UNRESOLVED)
+
+        /** Returns the ledger with [entries] and the newest [reports]. */
+        public fun of(entries: List<LedgerEntry>, reports: List<ReportMark>): MemoryLedger =
+            MemoryLedger(
+                byPlace = entries.associateBy { Place(it.server, it.artifact) }.toPersistentMap(),
+                marks = reports.associateBy { it.server }.toPersistentMap()
+            )
+    }
+}
+
+private fun refuse(message: String): Outcome.Failure = failure(ErrorKind.NO_BACKEND, message)
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/rate/RateLimiter.kt
@@ -0,0 +1,108 @@
+/*
+ * The part of each client account's rate and burst that this instance may spend: as many shares as
+ * it holds slots. Tokens move between instances only by conserved transfers: the giver takes them
+ * out first, the receiver puts them in at most once, and a lost message loses tokens. A transfer
+ * lives at most MAX_TRANSFER_MILLIS, during which the giver's bucket refills; the burst that is
+ * divided is smaller by what flows in that time, so that the sum over the fleet never passes it.
+ */
+package mustarddale.rate
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import mustarddale.config.ClientAccount
+
+/** What became of a wish for tokens. */
+public sealed interface RateVerdict {
+    /** The tokens were taken. */
+    public data class Taken(public val limiter: RateLimiter) : RateVerdict
+
+    /** This instance lacks [tokens]; others may have them. */
+    public data class Short(public val limiter: RateLimiter, public val tokens: Double) :
+        RateVerdict
+}
+
+/** A limiter with the tokens that it gave away. */
+public data class Given(public val limiter: RateLimiter, public val tokens: Double)
+
+/**
+ * The buckets of this instance.
+ *
+ * @property heldSlots how many of [totalSlots] this instance may use.
+ */
+public data class RateLimiter(
+    public val heldSlots: Int = 0,
+    public val totalSlots: Int = 1,
+    private val buckets: PersistentMap<String, TokenBucket> = persistentMapOf()
+) {
+    /**
+     * Changes the share of this instance; buckets keep what still fits.
+     *
+     * @param unheldBefore how many of the slots gained were never held by anyone, and so come full.
+     */
+    public fun resize(
+        heldSlots: Int,
+        totalSlots: Int,
+        accounts: List<ClientAccount>,
+        unheldBefore: Int,
+        nowMillis: Long
+    ): RateLimiter {
+        val next = copy(heldSlots = heldSlots, totalSlots = totalSlots)
+        val resized = accounts.associate { account ->
+            val before = buckets[account.name] ?: empty(nowMillis)
+            val capacity = next.capacityTokens(account)
+            val perMilli = next.tokensPerMilli(account)
+            val gift = capacity / heldSlots.coerceAtLeast(1) * unheldBefore
+            val bucket = before.advance(nowMillis).resize(capacity, perMilli).put(gift)
+            account.name to bucket
+        }
+        return next.copy(buckets = persistentMapOf<String, TokenBucket>().putAll(resized))
+    }
+
+    /** Takes [tokens] for [account]. */
+    public fun take(account: String, tokens: Double, nowMillis: Long): RateVerdict {
+        val bucket = (buckets[account] ?: empty(nowMillis)).advance(nowMillis)
+        if (tokens > bucket.level) return RateVerdict.Short(this, tokens - bucket.level)
+        return RateVerdict.Taken(with(account, bucket.take(tokens)))
+    }
+
+    /** Takes up to [tokens] out for another instance. */
+    public fun give(account: String, tokens: Double, nowMillis: Long): Given {
+        val bucket = (buckets[account] ?: empty(nowMillis)).advance(nowMillis)
+        val given = tokens.coerceIn(0.0, bucket.level)
+        return Given(with(account, bucket.take(given)), given)
+    }
+
+    /** Puts back tokens that a request did not use, or that came from another instance. */
+    public fun put(account: String, tokens: Double, nowMillis: Long): RateLimiter {
+        val bucket = buckets[account] ?: return this
+        return with(account, bucket.advance(nowMillis).put(tokens))
+    }
+
+    /** What [account] could spend here at [nowMillis]. */
+    public fun level(account: String, nowMillis: Long): Double =
+        buckets[account]?.advance(nowMillis)?.level ?: 0.0
+
+    private fun with(account: String, bucket: TokenBucket): RateLimiter =
+        copy(buckets = buckets.put(account, bucket))
+
+    private fun capacityTokens(account: ClientAccount): Double =
+        divisibleBurstTokens(account) * heldSlots / totalSlots
+
+    private fun tokensPerMilli(account: ClientAccount): Double =
+        account.tokensPerSecond * (1 - DRIFT) / MILLIS_PER_SECOND * heldSlots / totalSlots
+
+    public companion object {
+        /** How long a transfer may be under way; a later one is lost. */
+        public const val MAX_TRANSFER_MILLIS: Long = 250
+
+        /** By how much a clock may run fast. */
+        private const val DRIFT = 0.001
+        private const val MILLIS_PER_SECOND = 1_000.0
+
+        /** The part of the burst of [account] that is divided between slots. */
+        public fun divisibleBurstTokens(account: ClientAccount): Double =
+            account.burstTokens - account.tokensPerSecond * MAX_TRANSFER_MILLIS / MILLIS_PER_SECOND
+
+        private fun empty(nowMillis: Long): TokenBucket = TokenBucket(0.0, 0.0, 0.0, nowMillis)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/rate/SlotLease.kt
@@ -0,0 +1,45 @@
+/*
+ * The rate slots that this instance may use. A lease counts from before the record that got or
+ * renewed it was sent, on this instance's monotonic clock, and ends early by a drift margin. Others
+ * count from when they read that record, so they always end later.
+ */
+package mustarddale.rate
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/** The slots held by this instance, each until a time on its monotonic clock. */
+public data class SlotLease(private val untilMillis: PersistentMap<Int, Long> = persistentMapOf()) {
+    /** The slots that may be used at [nowMillis]. */
+    public fun usable(nowMillis: Long): Set<Int> = untilMillis.filterValues { nowMillis < it }.keys
+
+    /** All slots held, lapsed ones too. */
+    public val slots: Set<Int> get() = untilMillis.keys
+
+    /** Holds exactly [slots], for [leaseMillis] from [sentAtMillis]. */
+    public fun hold(slots: Set<Int>, sentAtMillis: Long, leaseMillis: Long): SlotLease {
+        val until = sentAtMillis + usableMillis(leaseMillis)
+        return SlotLease(slots.fold(persistentMapOf()) { map, slot -> map.put(slot, until) })
+    }
+
+    /** Adds [slots], for [leaseMillis] from [sentAtMillis]. */
+    public fun add(slots: Set<Int>, sentAtMillis: Long, leaseMillis: Long): SlotLease {
+        val until = sentAtMillis + usableMillis(leaseMillis)
+        return SlotLease(slots.fold(untilMillis) { map, slot -> map.put(slot, until) })
+    }
+
+    /** Drops [slots]. */
+    public fun drop(slots: Set<Int>): SlotLease =
+        SlotLease(slots.fold(untilMillis) { map, slot -> map.remove(slot) })
+
+    public companion object {
+        /** Clocks of two machines run apart by at most one part in this. */
+        private const val DRIFT_PARTS = 1_000L
+
+        /** How long a holder uses a lease of [leaseMillis]. */
+        public fun usableMillis(leaseMillis: Long): Long = leaseMillis - leaseMillis / DRIFT_PARTS
+
+        /** How long others wait from reading the last renewal of a lease of [leaseMillis]. */
+        public fun takeoverMillis(leaseMillis: Long): Long = leaseMillis + leaseMillis / DRIFT_PARTS
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/routing/LoadReport.kt
@@ -0,0 +1,28 @@
+package mustarddale.routing
+
+import kotlinx.serialization.Serializable
+import mustarddale.memory.HeldArtifact
+
+/**
+ * What an engine says of itself.
+ *
+ * @property bootNumber grows with each start of the engine.
+ * @property reportSequence grows with each report since that start.
+ * @property running requests in its batch.
+ * @property waiting requests behind the batch.
+ * @property ready artifacts that can serve at once.
+ * @property held artifacts that take memory, ready ones and those being loaded.
+ * @property appliedFence the number of the last order that it took.
+ */
+@Serializable
+public data class LoadReport(
+    public val server: String,
+    public val bootNumber: Long,
+    public val reportSequence: Long,
+    public val warmth: Warmth,
+    public val running: Int,
+    public val waiting: Int,
+    public val ready: List<String>,
+    public val held: List<HeldArtifact>,
+    public val appliedFence: Long
+)
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/routing/Policies.kt
@@ -0,0 +1,52 @@
+/*
+ * The policies. ShortestQueue is the one in use; the others are baselines that it is measured
+ * against.
+ */
+package mustarddale.routing
+
+/**
+ * Chooses the better of two random candidates by reported queue plus own sends since the report.
+ *
+ * Choosing between two, after Mitzenmacher, "The power of two choices in randomized load
+ * balancing", 2001, keeps instances that share a stale report from all choosing the same server.
+ */
+public object ShortestQueue : RoutePolicy {
+    private const val ADAPTER_LOAD_COST = 1
+
+    override fun choose(candidates: List<Candidate>, draw: Int): Candidate? {
+        val resident = candidates.filter { it.hasModel }
+        val warm = resident.filter { it.warmth == Warmth.WARM }
+        val pool = warm.ifEmpty { resident }
+        return pickTwo(pool, draw).minByOrNull(::cost)
+    }
+
+    private fun cost(candidate: Candidate): Int {
+        val queue = candidate.reportedQueue + candidate.sentSinceReport
+        return queue + if (candidate.hasAdapter) 0 else ADAPTER_LOAD_COST
+    }
+}
+
+/** Chooses the candidates in turn. */
+public object RoundRobin : RoutePolicy {
+    override fun choose(candidates: List<Candidate>, draw: Int): Candidate? =
+        candidates.getOrNull(Math.floorMod(draw, candidates.size.coerceAtLeast(1)))
+}
+
+/** Chooses the candidate with the fewest requests of this instance. */
+public object LeastInFlight : RoutePolicy {
+    override fun choose(candidates: List<Candidate>, draw: Int): Candidate? =
+        candidates.minByOrNull { it.inFlight }
+}
+
+/** Chooses the one of two random candidates with the fewer requests of this instance. */
+public object TwoChoices : RoutePolicy {
+    override fun choose(candidates: List<Candidate>, draw: Int): Candidate? =
+        pickTwo(candidates, draw).minByOrNull { it.inFlight }
+}
+
+private fun pickTwo(pool: List<Candidate>, draw: Int): List<Candidate> {
+    if (pool.size <= 2) return pool
+    val first = Math.floorMod(draw, pool.size)
+    val step = 1 + Math.floorMod(draw / pool.size, pool.size - 1)
+    return listOf(pool[first], pool[(first + step) % pool.size])
+}
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/routing/RoutePolicy.kt
@@ -0,0 +1,33 @@
+package mustarddale.routing
+
+import kotlinx.serialization.Serializable
+import mustarddale.config.BackendServer
+
+/** Whether a backend server is ready for full load. */
+@Serializable
+public enum class Warmth { UNKNOWN, COLD, WARM }
+
+/**
+ * A backend server as a request sees it.
+ *
+ * @property reportedQueue requests running and waiting there, by its last report.
+ * @property sentSinceReport requests that this instance sent since that report was made.
+ * @property inFlight requests of this instance that are under way there.
+ * @property hasModel whether the model of the request is resident there.
+ * @property hasAdapter whether the adapter of the request is resident there.
+ */
+public data class Candidate(
+    public val server: BackendServer,
+    public val warmth: Warmth = Warmth.WARM,
+    public val reportedQueue: Int = 0,
+    public val sentSinceReport: Int = 0,
+    public val inFlight: Int = 0,
+    public val hasModel: Boolean = true,
+    public val hasAdapter: Boolean = true
+)
+
+/** A way to choose one of several backend servers that can all take a request. */
+public fun interface RoutePolicy {
+    /** Returns one of [candidates], null if there is none; [draw] is a random number. */
+    public fun choose(candidates: List<Candidate>, draw: Int): Candidate?
+}
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/control/ControlStateTest.kt
@@ -0,0 +1,82 @@
+package mustarddale.control
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import mustarddale.config.ApiKey
+import mustarddale.config.Availability
+import mustarddale.config.ConfigurationChange.IssueKey
+import mustarddale.config.ConfigurationChange.SetDomain
+import mustarddale.config.ConfigurationChange.WithdrawKey
+import mustarddale.error.ErrorKind
+import mustarddale.key.KeyDigest
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+
+class ControlStateTest {
+    private val digest = KeyDigest.of(Fixtures.KEY)
+
+    @Test
+    fun `of two operators on one revision the first in the log wins and the other is told why`() {
+        val log = FakeLog()
+        log.append(Fixtures.first, Fixtures.replace())
+        log.append(Fixtures.first, Fixtures.replace(base = 1))
+        log.append(Fixtures.second, Fixtures.replace(base = 1))
+        val rejected = assertIs<Verdict.Rejected>(log.verdicts().last())
+        assertEquals(ErrorKind.REVISION_CONFLICT, rejected.refusal.kind)
+        assertEquals(2, log.fold().revision)
+        val last = log.fold().audit.last()
+        assertEquals("baseRevision: 1 is not the newest, which is 2", last.refusedBecause)
+    }
+
+    @Test
+    fun `a document based on the time before a withdrawal cannot bring the key back`() {
+        val log = FakeLog()
+        log.append(Fixtures.first, Fixtures.replace())
+        log.append(Fixtures.second, Fixtures.proposed(WithdrawKey(digest)))
+        log.append(Fixtures.first, Fixtures.replace(base = 1))
+        assertNull(log.fold().index.accountOfDigest(digest))
+    }
+
+    @TestFactory
+    fun `a record that lands again or late changes nothing`(): List<DynamicTest> {
+        val issue = Fixtures.proposed(IssueKey("yard", ApiKey("two", KeyDigest.of("two"))))
+        val out = Fixtures.proposed(SetDomain("north", Availability.OUT))
+        return listOf(
+            "again" to listOf(2L to issue, 2L to issue),
+            "again behind a later one" to listOf(2L to issue, 3L to out, 2L to issue),
+            "late behind a later one" to listOf(3L to out, 2L to issue)
+        ).map { (name, rows) ->
+            DynamicTest.dynamicTest(name) {
+                val log = FakeLog()
+                log.append(Envelope(Fixtures.first, 1, Fixtures.replace()))
+                rows.forEach { (sequence, record) ->
+                    log.append(Envelope(Fixtures.first, sequence, record))
+                }
+                assertEquals(Verdict.Repeated, log.verdicts().last())
+                val isKnown = log.fold().index.accountOfDigest(KeyDigest.of("two")) != null
+                assertEquals(rows.first().second == issue, isKnown)
+            }
+        }
+    }
+
+    @Test
+    fun `a record that cannot be read is passed over by every replica`() {
+        val log = FakeLog()
+        log.append(Fixtures.first, Fixtures.replace())
+        log.records.add(LogRecord(1, 2_000, "{\"not\":\"ours\"}"))
+        assertEquals(Verdict.Unreadable, log.verdicts().last())
+        assertEquals(1, log.fold().revision)
+    }
+
+    @Test
+    fun `a change of something that is not there is refused and named in the audit trail`() {
+        val log = FakeLog()
+        log.append(Fixtures.first, Fixtures.replace())
+        log.append(Fixtures.first, Fixtures.proposed(SetDomain("east", Availability.OUT)))
+        val rejected = assertIs<Verdict.Rejected>(log.verdicts().last())
+        assertEquals("domain", rejected.refusal.field)
+        assertEquals(1, log.fold().revision)
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/Admitter.kt
@@ -0,0 +1,151 @@
+/*
+ * Gets a request admitted: asks the decision duty, and where that lacks tokens, a cold-start permit
+ * or a resident model, fetches them from peers or from placement before it refuses.
+ */
+package mustarddale.instance.caller
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.future.await
+import mustarddale.config.ClientAccount
+import mustarddale.dispatch.Admission
+import mustarddale.dispatch.Work
+import mustarddale.error.ErrorKind
+import mustarddale.error.Outcome
+import mustarddale.error.failure
+import mustarddale.instance.decision.DecisionDuty
+import mustarddale.instance.decision.DecisionDuty.News
+import mustarddale.instance.decision.PlacementDuty
+import mustarddale.instance.peer.PeerMesh
+import mustarddale.instance.peer.PeerMesh.PermitLoan
+import mustarddale.rate.RateLimiter
+import mustarddale.time.Clock
+
+/** The right to send one request to [server]. */
+public data class Grant(public val server: String, public val loan: PermitLoan? = null)
+
+/** Admits requests of callers. */
+public class Admitter(
+    private val decisions: DecisionDuty,
+    private val placement: PlacementDuty,
+    private val mesh: PeerMesh,
+    private val clock: Clock,
+    private val loadWaitMillis: Long
+) {
+    /** Returns the right to send [work], which [account] pays for. */
+    public suspend fun admit(work: Work, account: ClientAccount?): Outcome<Grant> {
+        if (account != null && work.reservedTokens > RateLimiter.divisibleBurstTokens(account)) {
+            return burstExceeded(work, account)
+        }
+        val deadlineMillis = clock.monotonicMillis() + loadWaitMillis
+        var current = work
+        while (true) {
+            when (val step = step(current, account, deadlineMillis)) {
+                is Step.Done -> return step.outcome
+                is Step.Again -> current = step.work
+            }
+        }
+    }
+
+    private suspend fun step(work: Work, account: ClientAccount?, deadlineMillis: Long): Step =
+        when (val admission = decisions.admit(work).await()) {
+            is Admission.Admitted -> Step.Done(Outcome.Success(Grant(admission.server)))
+            is Admission.Refused -> Step.Done(Outcome.Failure(admission.refusal))
+            is Admission.NeedsPermit -> Step.Done(onLoan(work, admission, account))
+            is Admission.ShortOfTokens -> borrow(work, admission, account)
+            is Admission.NotResident -> load(work, admission, deadlineMillis)
+        }
+
+    /** Notes that the request of [grant] has ended. */
+    public fun finish(grant: Grant) {
+        decisions.tell(News.Finished(grant.server))
+        grant.loan?.let(mesh::giveBack)
+    }
+
+    private suspend fun borrow(
+        work: Work,
+        admission: Admission.ShortOfTokens,
+        account: ClientAccount?
+    ): Step {
+        val hasBorrowed = work.creditTokens > 0
+        val credit = if (hasBorrowed) {
+            0.0
+        } else {
+            val name = work.account.orEmpty()
+            mesh.wantTokens(name, admission.missingTokens, TRANSFER_TIMEOUT_MILLIS)
+        }
+        if (credit <= 0) return Step.Done(rateExceeded(admission, account))
+        return Step.Again(work.copy(creditTokens = credit))
+    }
+
+    private suspend fun load(
+        work: Work,
+        admission: Admission.NotResident,
+        deadlineMillis: Long
+    ): Step {
+        if (clock.monotonicMillis() >= deadlineMillis) return Step.Done(notLoaded(admission))
+        placement.want(admission.service, admission.artifact)
+        delay(LOAD_POLL_MILLIS)
+        return Step.Again(work.copy(creditTokens = 0.0))
+    }
+
+    private suspend fun onLoan(
+        work: Work,
+        admission: Admission.NeedsPermit,
+        account: ClientAccount?
+    ): Outcome<Grant> {
+        val loan = mesh.wantPermit(admission.servers, PERMIT_TIMEOUT_MILLIS)
+            ?: return failure(
+                ErrorKind.BACKEND_COLD,
+                "the backend servers are starting and take few requests",
+                retryAfterMillis = COLD_RETRY_MILLIS
+            )
+        val admitted = decisions.admitOnLoan(work, loan.server).await()
+        if (admitted is Admission.Admitted) return Outcome.Success(Grant(loan.server, loan))
+        mesh.giveBack(loan)
+        return if (admitted is Admission.ShortOfTokens) {
+            rateExceeded(admitted, account)
+        } else {
+            failure(ErrorKind.OVERLOADED, "too busy", retryAfterMillis = COLD_RETRY_MILLIS)
+        }
+    }
+
+    private fun rateExceeded(
+        admission: Admission.ShortOfTokens,
+        account: ClientAccount?
+    ): Outcome.Failure {
+        val perSecond = account?.tokensPerSecond ?: 1
+        val waitMillis = (admission.missingTokens * MILLIS_PER_SECOND / perSecond).toLong()
+        return failure(
+            ErrorKind.RATE_EXCEEDED,
+            "client account ${account?.name} has used up its rate of $perSecond tokens/s",
+            retryAfterMillis = waitMillis.coerceAtLeast(1)
+        )
+    }
+
+    private fun burstExceeded(work: Work, account: ClientAccount): Outcome.Failure = failure(
+        ErrorKind.BURST_EXCEEDED,
+        "the request can take ${work.reservedTokens.toLong()} tokens, more than the burst of " +
+            "${account.burstTokens}; shorten the prompt or lower max_tokens",
+        "max_tokens"
+    )
+
+    private fun notLoaded(admission: Admission.NotResident): Outcome.Failure = failure(
+        ErrorKind.NO_BACKEND,
+        "\"${admission.artifact}\" could not be loaded in time",
+        retryAfterMillis = LOAD_RETRY_MILLIS
+    )
+
+    private sealed interface Step {
+        data class Done(val outcome: Outcome<Grant>) : Step
+        data class Again(val work: Work) : Step
+    }
+
+    private companion object {
+        const val LOAD_POLL_MILLIS = 25L
+        const val TRANSFER_TIMEOUT_MILLIS = RateLimiter.MAX_TRANSFER_MILLIS / 2
+        const val PERMIT_TIMEOUT_MILLIS = 100L
+        const val COLD_RETRY_MILLIS = 1_000L
+        const val LOAD_RETRY_MILLIS = 2_000L
+        const val MILLIS_PER_SECOND = 1_000L
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/AnswerRelay.kt
@@ -0,0 +1,188 @@
+/*
+ * Brings one whole answer from engines to a caller. A stream that is cut, silent or has a gap is
+ * taken up again at its next missing token: first on a new connection to the same engine, then on
+ * another engine, which continues from the text so far.
+ */
+package mustarddale.instance.caller
+
+import java.util.UUID
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.channels.ClosedReceiveChannelException
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.produceIn
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import mustarddale.answer.FrameVerdict
+import mustarddale.answer.StreamAssembler
+import mustarddale.answer.StreamFrame
+import mustarddale.config.BackendServer
+import mustarddale.config.ConfigurationIndex
+import mustarddale.dispatch.Work
+import mustarddale.error.ErrorKind
+import mustarddale.error.Outcome
+import mustarddale.error.failure
+import mustarddale.instance.decision.DecisionDuty
+import mustarddale.instance.decision.DecisionDuty.News
+import mustarddale.instance.engine.EngineCall
+import mustarddale.instance.engine.EngineClient
+import mustarddale.instance.engine.EngineEvent
+
+/** Takes the frames of one answer in order. */
+public interface AnswerSink {
+    /** Takes [frame]; returns the text that it adds to the answer. */
+    public suspend fun take(frame: StreamFrame): String
+}
+
+/** Relays answers of engines. */
+public class AnswerRelay(
+    private val engines: EngineClient,
+    private val admitter: Admitter,
+    private val decisions: DecisionDuty,
+    private val silenceMillis: Long
+) {
+    /** Relays the answer to [chat], whose first attempt may use [first]. */
+    public suspend fun relay(
+        chat: ChatRequest,
+        work: Work,
+        first: Grant,
+        index: ConfigurationIndex,
+        sink: AnswerSink
+    ): Outcome<Unit> {
+        val requestId = "chatcmpl-" + UUID.randomUUID()
+        var progress = Progress(StreamAssembler(requestId))
+        var grant = first
+        var excluded = emptySet<String>()
+        repeat(MAX_ATTEMPTS) {
+            val attempt = attemptAt(index.server(grant.server), grant, progress, chat, sink)
+            progress = attempt.progress
+            when (val end = attempt.end) {
+                is AttemptEnd.Done -> return Outcome.Success(Unit)
+                is AttemptEnd.Invalid -> return invalid(end)
+                is AttemptEnd.NotRun, is AttemptEnd.Cut -> Unit
+            }
+            decisions.tell(News.Failed(grant.server))
+            excluded = excluded + grant.server
+            val retry = work.copy(reservedTokens = 0.0, excludedServers = excluded)
+            grant = when (val again = admitter.admit(retry, account = null)) {
+                is Outcome.Success -> again.value
+                is Outcome.Failure -> return exhausted(progress, again)
+            }
+        }
+        admitter.finish(grant)
+        return failure(ErrorKind.BACKEND_FAILED, "the answer was cut $MAX_ATTEMPTS times")
+    }
+
+    private suspend fun attemptAt(
+        server: BackendServer?,
+        grant: Grant,
+        start: Progress,
+        chat: ChatRequest,
+        sink: AnswerSink
+    ): Attempt {
+        val call = EngineCall(start.assembler.requestId, chat.body)
+        try {
+            if (server == null) return Attempt(start, AttemptEnd.NotRun("it left"))
+            return attempts(server, call, start, sink)
+        } catch (e: CancellationException) {
+            withContext(NonCancellable) { server?.let { engines.cancel(it, call.requestId) } }
+            throw e
+        } finally {
+            admitter.finish(grant)
+        }
+    }
+
+    private suspend fun attempts(
+        server: BackendServer,
+        call: EngineCall,
+        start: Progress,
+        sink: AnswerSink
+    ): Attempt {
+        val first = attempt(engines.answer(server, call.at(start)), start, sink)
+        if (first.end !is AttemptEnd.Cut) return first
+        return attempt(engines.resume(server, call.at(first.progress)), first.progress, sink)
+    }
+
+    private suspend fun attempt(
+        events: Flow<EngineEvent>,
+        start: Progress,
+        sink: AnswerSink
+    ): Attempt = coroutineScope {
+        val channel = events.produceIn(this)
+        try {
+            collect(channel, start, sink)
+        } finally {
+            channel.cancel()
+        }
+    }
+
+    private suspend fun collect(
+        channel: ReceiveChannel<EngineEvent>,
+        start: Progress,
+        sink: AnswerSink
+    ): Attempt {
+        var progress = start
+        while (true) {
+            val event = next(channel)
+            val end = if (event is EngineEvent.Frame) {
+                val verdict = progress.assembler.accept(event.frame)
+                if (verdict is FrameVerdict.Deliver) {
+                    val text = sink.take(event.frame)
+                    progress = Progress(verdict.next, progress.text + text)
+                }
+                endOf(verdict)
+            } else {
+                endOf(event)
+            }
+            if (end != null) return Attempt(progress, end)
+        }
+    }
+
+    private fun endOf(verdict: FrameVerdict): AttemptEnd? = when (verdict) {
+        is FrameVerdict.Deliver -> AttemptEnd.Done.takeIf { verdict.next.isComplete }
+        is FrameVerdict.Drop -> null
+        is FrameVerdict.Gap -> AttemptEnd.Cut("frames from ${verdict.fromOffset} on are missing")
+    }
+
+    private fun endOf(event: EngineEvent?): AttemptEnd? = when (event) {
+        is EngineEvent.NotRun -> AttemptEnd.NotRun(event.reason)
+        is EngineEvent.Invalid -> AttemptEnd.Invalid(event.message)
+        is EngineEvent.Cut -> AttemptEnd.Cut(event.reason)
+        null -> AttemptEnd.Cut("silent for $silenceMillis ms")
+        is EngineEvent.Alive, is EngineEvent.Frame -> null
+    }
+
+    private suspend fun next(channel: ReceiveChannel<EngineEvent>): EngineEvent? = try {
+        withTimeoutOrNull(silenceMillis) { channel.receive() }
+    } catch (_: ClosedReceiveChannelException) {
+        EngineEvent.Cut("the stream ended")
+    }
+
+    private fun exhausted(progress: Progress, again: Outcome.Failure): Outcome.Failure {
+        if (progress.assembler.nextOffset == 0L) return again
+        return failure(ErrorKind.BACKEND_FAILED, "the answer was cut and could not be resumed")
+    }
+
+    private fun invalid(end: AttemptEnd.Invalid): Outcome.Failure =
+        failure(ErrorKind.INVALID_REQUEST, "the engine refused the request: ${end.message}")
+
+    private fun EngineCall.at(progress: Progress): EngineCall =
+        copy(fromOffset = progress.assembler.nextOffset, soFar = progress.text)
+
+    private data class Progress(val assembler: StreamAssembler, val text: String = "")
+
+    private data class Attempt(val progress: Progress, val end: AttemptEnd)
+
+    private sealed interface AttemptEnd {
+        data object Done : AttemptEnd
+        data class NotRun(val reason: String) : AttemptEnd
+        data class Invalid(val message: String) : AttemptEnd
+        data class Cut(val reason: String) : AttemptEnd
+    }
+
+    private companion object {
+        const val MAX_ATTEMPTS = 3
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/ChatRequest.kt
@@ -0,0 +1,106 @@
+package mustarddale.instance.caller
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.longOrNull
+import mustarddale.config.ConfigurationIndex
+import mustarddale.config.ModelEntry
+import mustarddale.error.ErrorKind
+import mustarddale.error.Outcome
+import mustarddale.error.failure
+
+/**
+ * A checked chat completion request.
+ *
+ * @property body what goes to the engine, with a bound on the tokens of the answer.
+ * @property reservedTokens the most tokens that prompt and answer can have together.
+ */
+public data class ChatRequest(
+    public val entry: ModelEntry,
+    public val body: JsonObject,
+    public val isStreamed: Boolean,
+    public val includesUsage: Boolean,
+    public val reservedTokens: Double
+) {
+    public companion object {
+        /** Tokens that a chat template adds to one message, at the most. */
+        private const val TEMPLATE_TOKENS = 16
+
+        /** Reads [text] and checks it against [index]. */
+        public fun read(text: String, index: ConfigurationIndex): Outcome<ChatRequest> {
+            val body = parse(text)
+                ?: return invalid("the body is not a JSON object", "body")
+            val name = (body["model"] as? JsonPrimitive)?.takeIf { it.isString }?.content
+                ?: return invalid("model: must be a string", "model")
+            val entry = index.models[name] ?: return failure(
+                ErrorKind.MODEL_UNKNOWN,
+                "there is no model called \"$name\"",
+                "model"
+            )
+            return check(body, entry)
+        }
+
+        private fun check(body: JsonObject, entry: ModelEntry): Outcome<ChatRequest> {
+            val messages = body["messages"]
+            if (messages !is kotlinx.serialization.json.JsonArray || messages.isEmpty()) {
+                return invalid("messages: must be a list with at least one message", "messages")
+            }
+            if (messages.any { it !is JsonObject || "role" !in it }) {
+                return invalid("messages: each must be an object with a role", "messages")
+            }
+            val choices = body["n"].asLong()
+            if (choices != null && choices != 1L) {
+                return invalid("n: only one answer for each request", "n")
+            }
+            val limitField = if ("max_completion_tokens" in body) MAX_COMPLETION else MAX_TOKENS
+            val asked = body[limitField]
+            val limit = asked.asLong() ?: entry.model.maxOutputTokens
+            if (limit < 1 || (asked != null && asked.asLong() == null)) {
+                return invalid("$limitField: must be a whole number above 0", limitField)
+            }
+            return Outcome.Success(request(body, entry, minOf(limit, entry.model.maxOutputTokens)))
+        }
+
+        private fun request(body: JsonObject, entry: ModelEntry, limit: Long): ChatRequest {
+            val messages = body.getValue("messages").jsonArray
+            val promptBytes = messages.toString().toByteArray().size
+            val promptTokens = promptBytes * entry.model.maxTokensPerByte +
+                messages.size * TEMPLATE_TOKENS
+            val options = body["stream_options"] as? JsonObject
+            val changed = mapOf(
+                MAX_TOKENS to JsonPrimitive(limit),
+                "model" to JsonPrimitive(entry.model.name)
+            )
+            val adapter = entry.adapter?.let { mapOf("adapter" to JsonPrimitive(it.name)) }
+            return ChatRequest(
+                entry = entry,
+                body = JsonObject(body - MAX_COMPLETION + changed + adapter.orEmpty()),
+                isStreamed = body["stream"].asBoolean(),
+                includesUsage = options?.get("include_usage").asBoolean(),
+                reservedTokens = promptTokens + limit
+            )
+        }
+
+        private fun parse(text: String): JsonObject? = try {
+            Json.parseToJsonElement(text) as? JsonObject
+        } catch (_: SerializationException) {
+            null
+        }
+
+        private fun JsonElement?.asLong(): Long? = (this as? JsonPrimitive)?.longOrNull
+
+        private fun JsonElement?.asBoolean(): Boolean =
+            (this as? JsonPrimitive)?.booleanOrNull ?: false
+
+        private fun invalid(message: String, field: String): Outcome.Failure =
+            failure(ErrorKind.INVALID_REQUEST, message, field)
+
+        private const val MAX_TOKENS = "max_tokens"
+        private const val MAX_COMPLETION = "max_completion_tokens"
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/settings/Settings.kt
@@ -0,0 +1,109 @@
+/*
+ * What one instance is told when it starts: its own addresses and where the platform is. All that
+ * operators may change while it runs is in the configuration instead.
+ */
+package mustarddale.instance.settings
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import mustarddale.config.ConfigurationFormat
+import mustarddale.config.Fault
+import mustarddale.error.ErrorKind
+import mustarddale.error.Outcome
+import mustarddale.error.failure
+
+/** An operator, known by the SHA-256 digest of a password. */
+@Serializable
+public data class OperatorCredential(public val name: String, public val sha256: String)
+
+/**
+ * The settings of one instance.
+ *
+ * @property lameDuckMillis how long it still takes requests after it has said that it is leaving.
+ * @property drainMillis how long requests under way may last after that.
+ * @property silenceMillis after how long without a byte a stream of an engine is given up.
+ * @property loadWaitMillis how long a request waits for its model to be loaded.
+ */
+@Serializable
+public data class Settings(
+    public val instanceId: String,
+    public val failureDomain: String,
+    public val host: String = "127.0.0.1",
+    public val callerPort: Int,
+    public val operatorPort: Int,
+    public val peerPort: Int,
+    public val logUrl: String,
+    public val instanceListUrl: String,
+    public val operators: List<OperatorCredential> = emptyList(),
+    public val maxBodyBytes: Long = 4L * 1_024 * 1_024,
+    public val maxConnections: Int = 4_096,
+    public val reportIntervalMillis: Long = 250,
+    public val peerHeartbeatMillis: Long = 500,
+    public val appendTimeoutMillis: Long = 2_000,
+    public val silenceMillis: Long = 5_000,
+    public val loadWaitMillis: Long = 15_000,
+    public val lameDuckMillis: Long = 2_000,
+    public val drainMillis: Long = 120_000
+) {
+    /** Returns all faults; an empty list means that an instance can start with this. */
+    public fun faults(): List<Fault> = buildList {
+        if (instanceId.isBlank()) add(Fault("instanceId", "must not be empty"))
+        if (failureDomain.isBlank()) add(Fault("failureDomain", "must not be empty"))
+        ports().forEach { (field, port) ->
+            if (port !in 0..MAX_PORT) add(Fault(field, "must be from 0 to $MAX_PORT"))
+        }
+        urls().forEach { (field, url) ->
+            if (!url.startsWith("http")) add(Fault(field, "must be an HTTP URL, is \"$url\""))
+        }
+        durations().forEach { (field, millis) ->
+            if (millis <= 0) add(Fault(field, "must be above 0"))
+        }
+        operators.forEachIndexed { index, operator ->
+            if (operator.sha256.length != DIGEST_DIGITS) {
+                add(Fault("operators[$index].sha256", "must be $DIGEST_DIGITS hex digits"))
+            }
+        }
+    }
+
+    private fun ports() = listOf(
+        "callerPort" to callerPort,
+        "operatorPort" to operatorPort,
+        "peerPort" to peerPort
+    )
+
+    private fun urls() = listOf("logUrl" to logUrl, "instanceListUrl" to instanceListUrl)
+
+    private fun durations() = listOf(
+        "maxBodyBytes" to maxBodyBytes,
+        "reportIntervalMillis" to reportIntervalMillis,
+        "peerHeartbeatMillis" to peerHeartbeatMillis,
+        "appendTimeoutMillis" to appendTimeoutMillis,
+        "silenceMillis" to silenceMillis,
+        "loadWaitMillis" to loadWaitMillis,
+        "drainMillis" to drainMillis
+    )
+
+    public companion object {
+        private const val MAX_PORT = 65_535
+        private const val DIGEST_DIGITS = 64
+
+        /** Reads settings from JSON [text] and checks them. */
+        public fun read(text: String): Outcome<Settings> = try {
+            checked(ConfigurationFormat.json.decodeFromString(serializer(), text))
+        } catch (e: SerializationException) {
+            invalid(e)
+        } catch (e: IllegalArgumentException) {
+            invalid(e)
+        }
+
+        private fun checked(settings: Settings): Outcome<Settings> {
+            val faults = settings.faults()
+            if (faults.isEmpty()) return Outcome.Success(settings)
+            val message = faults.joinToString("; ") { "${it.field}: ${it.message}" }
+            return failure(ErrorKind.INVALID_REQUEST, message, faults.first().field)
+        }
+
+        private fun invalid(cause: Exception): Outcome.Failure =
+            failure(ErrorKind.INVALID_REQUEST, cause.message.orEmpty().lineSequence().first())
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/mustarddale/standin/EngineStandIn.kt
@@ -0,0 +1,218 @@
+/*
+ * A model engine: a memory of artifacts, a batch of limited size, answers that are a function of
+ * the prompt, cold start, streams that can be resumed, and orders with fencing numbers. It can be
+ * told to cut or silence streams and to forget fencing.
+ */
+package mustarddale.standin
+
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServerBuilder
+import com.linecorp.armeria.server.ServiceRequestContext
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.long
+import mustarddale.standin.internal.EngineMemory
+import mustarddale.standin.internal.GeneratedAnswer
+import mustarddale.standin.internal.TokenStream
+
+/** How an engine is set up. */
+@Serializable
+public data class EngineSetup(
+    public val memoryBytes: Long,
+    public val checksFencing: Boolean = true,
+    public val preloaded: Map<String, Long> = emptyMap(),
+    public val tokenMillis: Long = 0,
+    public val batchSize: Int = 32,
+    public val coldMillis: Long = 0,
+    public val loadMillis: Long = 0,
+    public val weightsUrl: String? = null
+)
+
+/** How an engine misbehaves. */
+@Serializable
+public data class EngineFaults(
+    public val cutAfterTokens: Int? = null,
+    public val silentAfterTokens: Int? = null,
+    public val repeatsFrames: Boolean = false,
+    public val losesOrders: Boolean = false
+)
+
+/** A stand-in for a model engine. */
+public class EngineStandIn(private val setup: EngineSetup) : StandIn() {
+    private val bootNumber = System.currentTimeMillis()
+    private val reportSequence = AtomicLong()
+    private val streams = ConcurrentHashMap<String, GeneratedAnswer>()
+    private val running = AtomicInteger()
+
+    @Volatile
+    private var coldUntilMillis = System.currentTimeMillis() + setup.coldMillis
+
+    /** What it holds in memory. */
+    public val memory: EngineMemory = EngineMemory(setup)
+
+    /** What it has seen. */
+    public val calls: CallLog = CallLog()
+
+    /** The most requests that were under way at the same time while it was cold. */
+    public val mostWhileCold: AtomicInteger = AtomicInteger()
+
+    /** The requests that were cancelled. */
+    public val cancelled: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
+    /** How it misbehaves now. */
+    @Volatile
+    public var faults: EngineFaults = EngineFaults()
+
+    /** Turns cold for [millis]. */
+    public fun chill(millis: Long) {
+        coldUntilMillis = System.currentTimeMillis() + millis
+    }
+
+    override fun configure(builder: ServerBuilder) {
+        calls.configure(builder)
+        builder.service("/v1/load", HttpService { _, _ -> report() })
+        builder.service(
+            "/v1/chat/completions",
+            HttpService { context, request ->
+                withBody(request) { body -> chat(context, request, body) }
+            }
+        )
+        builder.service("/v1/streams/{id}", HttpService { context, _ -> resumeOrCancel(context) })
+        builder.service("/v1/orders", HttpService { _, request -> withBody(request, ::order) })
+        builder.service(
+            "/stand-in/faults",
+            HttpService { _, request ->
+                withBody(request) {
+                    faults = json.decodeFromString(EngineFaults.serializer(), it)
+                    plain(HttpStatus.OK)
+                }
+            }
+        )
+        builder.service(
+            "/stand-in/chill",
+            HttpService { context, _ ->
+                chill(context.queryParam("millis")?.toLong() ?: 0)
+                plain(HttpStatus.OK)
+            }
+        )
+    }
+
+    private val isCold: Boolean get() = System.currentTimeMillis() < coldUntilMillis
+
+    private fun report(): HttpResponse = answer(
+        Report.serializer(),
+        Report(
+            bootNumber = bootNumber,
+            reportSequence = reportSequence.incrementAndGet(),
+            state = if (isCold) "COLD" else "WARM",
+            running = running.get().coerceAtMost(setup.batchSize),
+            waiting = (running.get() - setup.batchSize).coerceAtLeast(0),
+            ready = memory.ready(),
+            held = memory.held().map { Held(it.key, it.value) },
+            lastOrder = memory.lastOrder
+        )
+    )
+
+    private fun chat(
+        context: ServiceRequestContext,
+        request: HttpRequest,
+        body: String
+    ): HttpResponse {
+        calls.add(context, request, body)
+        val call = json.decodeFromString(JsonObject.serializer(), body)
+        val model = (call["model"] as? JsonPrimitive)?.content.orEmpty()
+        val adapter = (call["adapter"] as? JsonPrimitive)?.content
+        val isReady = listOfNotNull(model, adapter).all { it in memory.ready() }
+        if (!isReady) return plain(HttpStatus.NOT_FOUND)
+        val requestId = request.headers().get("x-request-id") ?: "chatcmpl-${System.nanoTime()}"
+        val generated = GeneratedAnswer(
+            requestId = requestId,
+            prompt = call["messages"].toString() + adapter,
+            maxTokens = (call["max_tokens"] as? JsonPrimitive)?.long?.toInt() ?: DEFAULT_TOKENS
+        )
+        streams[requestId] = generated
+        val fromOffset = (call["resume_offset"] as? JsonPrimitive)?.long ?: 0
+        return stream(context, generated, fromOffset.toInt())
+    }
+
+    private fun resumeOrCancel(context: ServiceRequestContext): HttpResponse {
+        val id = context.pathParam("id").orEmpty()
+        if (context.method().name == "DELETE") {
+            cancelled.add(id)
+            streams.remove(id)
+            return plain(HttpStatus.OK)
+        }
+        val generated = streams[id] ?: return plain(HttpStatus.NOT_FOUND)
+        return stream(context, generated, context.queryParam("offset")?.toInt() ?: 0)
+    }
+
+    private fun stream(
+        context: ServiceRequestContext,
+        generated: GeneratedAnswer,
+        fromOffset: Int
+    ): HttpResponse {
+        val now = running.incrementAndGet()
+        if (isCold) mostWhileCold.accumulateAndGet(now, ::maxOf)
+        val response = HttpResponse.streaming()
+        val headers = ResponseHeaders.builder(HttpStatus.OK)
+            .contentType(MediaType.EVENT_STREAM)
+            .add("x-engine-state", if (isCold) "cold" else "warm")
+            .build()
+        response.write(headers)
+        response.whenComplete().handle { _, _ ->
+            running.decrementAndGet()
+        }
+        val isFirst = fromOffset == 0
+        TokenStream(
+            eventLoop = context.eventLoop(),
+            response = response,
+            answer = generated,
+            faults = if (isFirst) faults else EngineFaults(),
+            tokenMillis = setup.tokenMillis,
+            isCancelled = { generated.requestId in cancelled }
+        ).start(fromOffset)
+        return response
+    }
+
+    private fun order(body: String): HttpResponse {
+        if (faults.losesOrders) return plain(HttpStatus.GATEWAY_TIMEOUT)
+        val order = json.decodeFromString(Order.serializer(), body)
+        return plain(memory.take(order.kind, order.artifact, order.memoryBytes, order.fence))
+    }
+
+    @Serializable
+    private data class Held(val name: String, val memoryBytes: Long)
+
+    @Serializable
+    private data class Report(
+        val bootNumber: Long,
+        val reportSequence: Long,
+        val state: String,
+        val running: Int,
+        val waiting: Int,
+        val ready: List<String>,
+        val held: List<Held>,
+        val lastOrder: Long
+    )
+
+    @Serializable
+    private data class Order(
+        val kind: String,
+        val artifact: String,
+        val memoryBytes: Long,
+        val fence: Long
+    )
+
+    private companion object {
+        const val DEFAULT_TOKENS = 64
+    }
+}
