Close holes found on re-reading: frozen holders, fixed limits, ledger order, late reads

Cause: a process frozen past its slot lease could still spend before its next tick; rateSlots and slotLeaseMillis could change under holders; a report of a server that ignores fencing could drop a load that landed out of order; a jump of state hid the outcome of records; checkpoints came by count only. Change: the limiter carries its own end of validity, the fold refuses those limits, the ledger compares order numbers exactly where fencing is ignored.

--- a/core/src/main/kotlin/mustarddale/control/ControlSnapshot.kt
+++ b/core/src/main/kotlin/mustarddale/control/ControlSnapshot.kt
@@ -55,6 +55,7 @@
         intents = IntentTable.of(intents),
         ledger = MemoryLedger.of(ledger, reports),
         checkpointOffset = nextOffset,
+        checkpointAtMillis = lastAppendedAtMillis,
         lastAppendedAtMillis = lastAppendedAtMillis
     )
 
--- a/core/src/main/kotlin/mustarddale/control/ControlState.kt
+++ b/core/src/main/kotlin/mustarddale/control/ControlState.kt
@@ -28,6 +28,7 @@
 import mustarddale.error.ErrorKind
 import mustarddale.error.Outcome
 import mustarddale.error.Refusal
+import mustarddale.error.then
 import mustarddale.idempotency.IntentTable
 import mustarddale.memory.MemoryLedger
 import mustarddale.rate.SlotTable
@@ -65,6 +66,7 @@
  *
  * @property revision counts the accepted changes of the configuration.
  * @property checkpointOffset where the newest whole checkpoint ends, 0 if there is none.
+ * @property checkpointAtMillis when the log took it.
  */
 public data class ControlState(
     public val nextOffset: Long,
@@ -76,6 +78,7 @@
     public val intents: IntentTable,
     public val ledger: MemoryLedger,
     public val checkpointOffset: Long,
+    public val checkpointAtMillis: Long,
     public val lastAppendedAtMillis: Long
 ) {
     /** Folds [record], which must be the next one. */
@@ -154,7 +157,7 @@
                 "baseRevision: $based is not the newest, which is $revision"
             )
 
-            else -> change.applyTo(index.configuration)
+            else -> change.applyTo(index.configuration).then(::keepsFixedLimits)
         }
         val refusal = (outcome as? Outcome.Failure)?.refusal
         val entry = AuditEntry(
@@ -178,8 +181,30 @@
         }
     }
 
+    /** Holders and claimants of slots must never disagree on these. */
+    private fun keepsFixedLimits(next: Configuration): Outcome<Configuration> {
+        val before = index.configuration.limits
+        val after = next.limits
+        val field = when {
+            revision == 0L -> null
+            after.rateSlots != before.rateSlots -> "limits.rateSlots"
+            after.slotLeaseMillis != before.slotLeaseMillis -> "limits.slotLeaseMillis"
+            else -> null
+        }
+        if (field == null) return Outcome.Success(next)
+        val message = "$field: cannot be changed once it is in force"
+        return Outcome.Failure(Refusal(ErrorKind.INVALID_REQUEST, message, field))
+    }
+
     private fun countCheckpoint(chunk: CheckpointChunk): ControlState =
-        if (chunk.index == chunk.count - 1) copy(checkpointOffset = chunk.throughOffset) else this
+        if (chunk.index == chunk.count - 1) {
+            copy(
+                checkpointOffset = chunk.throughOffset,
+                checkpointAtMillis = lastAppendedAtMillis
+            )
+        } else {
+            this
+        }
 
     private fun accepted(state: ControlState, envelope: Envelope): Folded =
         Folded(state, Verdict.Accepted, envelope)
@@ -218,6 +243,7 @@
             intents = IntentTable(),
             ledger = MemoryLedger(),
             checkpointOffset = 0,
+            checkpointAtMillis = 0,
             lastAppendedAtMillis = 0
         )
 
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/dispatch/Selection.kt
@@ -0,0 +1,80 @@
+/*
+ * Finds the backend servers that can take a request now, and why none can where that is so.
+ */
+package mustarddale.dispatch
+
+import mustarddale.config.BackendServer
+import mustarddale.dispatch.Admission.Admitted
+import mustarddale.dispatch.Admission.NeedsPermit
+import mustarddale.dispatch.Admission.NotResident
+import mustarddale.dispatch.Admission.Refused
+import mustarddale.error.ErrorKind
+import mustarddale.error.Refusal
+import mustarddale.memory.Residency
+import mustarddale.routing.Candidate
+import mustarddale.routing.Warmth
+
+/** The choice of a backend server by [dispatch] at [nowMillis]. */
+internal class Selection(private val dispatch: Dispatch, private val nowMillis: Long) {
+    /** Returns where to send [work], without regard to its tokens; [draw] is a random number. */
+    fun choose(work: Work, draw: Int): Admission {
+        val available = dispatch.index.servers(work.service)
+            .filter { dispatch.index.isAvailable(it) && it.name !in work.excludedServers }
+        if (available.isEmpty()) return refused(ErrorKind.NO_BACKEND, "no backend server is in")
+        val resident = available.map { candidate(it, work) }.filter { it.hasModel }
+        if (resident.isEmpty()) return NotResident(work.service, work.model.orEmpty())
+        val withAdapter = resident.filter { it.hasAdapter }
+        if (withAdapter.isEmpty()) return NotResident(work.service, work.adapter.orEmpty())
+        val healthy = withAdapter.filterNot { view(it.server).isSuspect(nowMillis) }
+        val usable = healthy.ifEmpty { withAdapter }
+        val chosen = dispatch.policy.choose(usable.filter(::hasRoom), draw)
+        return if (chosen != null) Admitted(chosen.server.name) else noRoom(usable)
+    }
+
+    private fun noRoom(candidates: List<Candidate>): Admission {
+        val cold = candidates.filter { it.warmth != Warmth.WARM }
+        if (cold.isNotEmpty()) return NeedsPermit(cold.map { it.server.name })
+        return refused(ErrorKind.OVERLOADED, "all backend servers are full")
+    }
+
+    private fun hasRoom(candidate: Candidate): Boolean {
+        val server = candidate.server
+        if (candidate.warmth !=
+            Warmth.WARM
+        ) {
+            return dispatch.freePermits(server.name, nowMillis) >= 1
+        }
+        val queue = maxOf(candidate.reportedQueue + candidate.sentSinceReport, candidate.inFlight)
+        return queue < server.maxInFlight
+    }
+
+    private fun candidate(server: BackendServer, work: Work): Candidate {
+        val view = view(server)
+        val report = view.report
+        val isPlain = work.model == null
+        return Candidate(
+            server = server,
+            warmth = if (isPlain && report == null) Warmth.WARM else view.warmth(nowMillis),
+            reportedQueue = report?.let { it.running + it.waiting } ?: 0,
+            sentSinceReport = view.sentSinceReport,
+            inFlight = view.inFlight,
+            hasModel = work.model == null || isReady(server, work.model),
+            hasAdapter = work.adapter == null || isReady(server, work.adapter)
+        )
+    }
+
+    private fun isReady(server: BackendServer, artifact: String): Boolean {
+        val entry = dispatch.ledger.find(server.name, artifact)
+        val isLeaving = entry?.residency == Residency.UNLOADING
+        return !isLeaving && view(server).report?.ready.orEmpty().contains(artifact)
+    }
+
+    private fun view(server: BackendServer): ServerView = dispatch.servers.view(server.name)
+
+    private fun refused(kind: ErrorKind, message: String): Refused =
+        Refused(Refusal(kind, message, retryAfterMillis = RETRY_AFTER_MILLIS))
+
+    private companion object {
+        const val RETRY_AFTER_MILLIS = 1_000L
+    }
+}
--- a/core/src/main/kotlin/mustarddale/memory/MemoryLedger.kt
+++ b/core/src/main/kotlin/mustarddale/memory/MemoryLedger.kt
@@ -130,7 +130,8 @@
         val held = record.held.associateBy { it.name }
         val known = entries(record.server).fold(this) { ledger, entry ->
             val settled = settleLoads(entry, record, server)
-            ledger.put(observeEntry(settled, held[entry.artifact], record), entry)
+            val isApplied = isApplied(entry, record, server)
+            ledger.put(observeEntry(settled, held[entry.artifact], isApplied), entry)
         }
         val complete = record.held.fold(known) { ledger, artifact ->
             ledger.addSeen(record, artifact)
@@ -145,6 +146,20 @@
         return record.reportSequence <= mark.reportSequence
     }
 
+    /**
+     * Whether the engine has surely taken, or will never take, the newest order for [entry]. An
+     * engine that ignores fencing numbers may take a later order first.
+     */
+    private fun isApplied(
+        entry: LedgerEntry,
+        record: ResidencyObserved,
+        server: BackendServer
+    ): Boolean = if (server.checksFencing) {
+        record.appliedFence >= entry.orderOffset
+    } else {
+        record.appliedFence == entry.orderOffset
+    }
+
     private fun settleLoads(
         entry: LedgerEntry,
         record: ResidencyObserved,
@@ -241,15 +256,11 @@
     private fun observeEntry(
         entry: LedgerEntry,
         held: HeldArtifact?,
-        record: ResidencyObserved
+        isApplied: Boolean
     ): LedgerEntry? {
-        val isApplied = record.appliedFence >= entry.orderOffset
         if (held != null) return observeHeld(entry, held)
         return when (entry.residency) {
-            Residency.RESIDENT -> dropIfUnresolved(asUnresolved(entry))
-
-            Residency.UNLOADING ->
-                if (isApplied) dropIfUnresolved(asUnresolved(entry)) else entry
+            Residency.RESIDENT, Residency.UNLOADING -> dropIfUnresolved(asUnresolved(entry))
 
             Residency.LOADING -> entry.takeUnless { isApplied && entry.openLoads.isEmpty() }
 
--- a/core/src/main/kotlin/mustarddale/rate/RateLimiter.kt
+++ b/core/src/main/kotlin/mustarddale/rate/RateLimiter.kt
@@ -28,10 +28,13 @@
  * The buckets of this instance.
  *
  * @property heldSlots how many of [totalSlots] this instance may use.
+ * @property validUntilMillis when the first of them lapses; nothing is spent from then on, so that
+ *   a process that was frozen in between cannot spend what others have taken over.
  */
 public data class RateLimiter(
     public val heldSlots: Int = 0,
     public val totalSlots: Int = 1,
+    public val validUntilMillis: Long = Long.MIN_VALUE,
     private val buckets: PersistentMap<String, TokenBucket> = persistentMapOf()
 ) {
     /**
@@ -44,9 +47,14 @@
         totalSlots: Int,
         accounts: List<ClientAccount>,
         unheldBefore: Int,
+        validUntilMillis: Long,
         nowMillis: Long
     ): RateLimiter {
-        val next = copy(heldSlots = heldSlots, totalSlots = totalSlots)
+        val next = copy(
+            heldSlots = heldSlots,
+            totalSlots = totalSlots,
+            validUntilMillis = validUntilMillis
+        )
         val resized = accounts.associate { account ->
             val before = buckets[account.name] ?: empty(nowMillis)
             val capacity = next.capacityTokens(account)
@@ -61,14 +69,15 @@
     /** Takes [tokens] for [account]. */
     public fun take(account: String, tokens: Double, nowMillis: Long): RateVerdict {
         val bucket = (buckets[account] ?: empty(nowMillis)).advance(nowMillis)
-        if (tokens > bucket.level) return RateVerdict.Short(this, tokens - bucket.level)
+        val level = if (isValid(nowMillis)) bucket.level else 0.0
+        if (tokens > level) return RateVerdict.Short(this, tokens - level)
         return RateVerdict.Taken(with(account, bucket.take(tokens)))
     }
 
     /** Takes up to [tokens] out for another instance. */
     public fun give(account: String, tokens: Double, nowMillis: Long): Given {
         val bucket = (buckets[account] ?: empty(nowMillis)).advance(nowMillis)
-        val given = tokens.coerceIn(0.0, bucket.level)
+        val given = if (isValid(nowMillis)) tokens.coerceIn(0.0, bucket.level) else 0.0
         return Given(with(account, bucket.take(given)), given)
     }
 
@@ -79,8 +88,13 @@
     }
 
     /** What [account] could spend here at [nowMillis]. */
-    public fun level(account: String, nowMillis: Long): Double =
-        buckets[account]?.advance(nowMillis)?.level ?: 0.0
+    public fun level(account: String, nowMillis: Long): Double {
+        if (!isValid(nowMillis)) return 0.0
+        return buckets[account]?.advance(nowMillis)?.level ?: 0.0
+    }
+
+    /** Whether the slots may still be used at [nowMillis]. */
+    public fun isValid(nowMillis: Long): Boolean = nowMillis < validUntilMillis
 
     private fun with(account: String, bucket: TokenBucket): RateLimiter =
         copy(buckets = buckets.put(account, bucket))
--- a/core/src/main/kotlin/mustarddale/rate/SlotKeeper.kt
+++ b/core/src/main/kotlin/mustarddale/rate/SlotKeeper.kt
@@ -22,19 +22,26 @@
     public data class Release(public val slots: Set<Int>) : SlotAction
 }
 
+/** A keeper after a claim; [unheldBefore] of the slots gained were never held by anyone. */
+public data class ClaimResult(public val keeper: SlotKeeper, public val unheldBefore: Int)
+
 /** Where slots stand when [SlotKeeper] plans. */
 public data class SlotSituation(
     public val table: SlotTable,
     public val limits: Limits,
     public val liveInstances: Int,
-    public val lastRenewalSentMillis: Long,
     public val nowMillis: Long,
     public val pinnedSlots: Set<Int> = emptySet()
 )
 
-/** The memory that [writer] has of when it first saw each slot's last renewal. */
+/**
+ * The slots of the instance that writes as [writer], and when it first saw the last renewal of each
+ * slot of others.
+ */
 public data class SlotKeeper(
     public val writer: WriterId,
+    public val lease: SlotLease = SlotLease(),
+    private val lastRenewalSentMillis: Long = 0,
     private val seen: PersistentMap<Int, Sighting> = persistentMapOf()
 ) {
     /** When a renewal was first seen. */
@@ -62,6 +69,35 @@
         return SlotAction.Renew.takeIf { held.isNotEmpty() && isRenewalDue(situation) }
     }
 
+    /** Takes in that [claim], sent at [sentAtMillis], was folded at [offset] into [table]. */
+    public fun claimed(
+        claim: SlotAction.Claim,
+        table: SlotTable,
+        offset: Long,
+        sentAtMillis: Long,
+        leaseMillis: Long
+    ): ClaimResult {
+        val won = claim.claims.filter { table.entry(it.slot).renewalOffset == offset }
+        val slots = won.map { it.slot }.toSet()
+        val isFirst = lease.slots.isEmpty()
+        return ClaimResult(
+            keeper = copy(
+                lease = lease.add(slots, sentAtMillis, leaseMillis),
+                lastRenewalSentMillis = if (isFirst) sentAtMillis else lastRenewalSentMillis
+            ),
+            unheldBefore = won.count { it.seenRenewalOffset == SlotTable.NEVER_HELD }
+        )
+    }
+
+    /** Takes in that a renewal, sent at [sentAtMillis], was folded into [table]. */
+    public fun renewed(table: SlotTable, sentAtMillis: Long, leaseMillis: Long): SlotKeeper = copy(
+        lease = lease.hold(table.heldBy(writer), sentAtMillis, leaseMillis),
+        lastRenewalSentMillis = sentAtMillis
+    )
+
+    /** Stops using [slots]; only then may their release be written. */
+    public fun released(slots: Set<Int>): SlotKeeper = copy(lease = lease.drop(slots))
+
     private fun targetOf(situation: SlotSituation): Int {
         val live = situation.liveInstances.coerceAtLeast(1)
         return (situation.limits.rateSlots + live - 1) / live
@@ -86,7 +122,7 @@
 
     private fun isRenewalDue(situation: SlotSituation): Boolean {
         val intervalMillis = situation.limits.slotLeaseMillis / RENEWALS_PER_LEASE
-        return situation.nowMillis - situation.lastRenewalSentMillis >= intervalMillis
+        return situation.nowMillis - lastRenewalSentMillis >= intervalMillis
     }
 
     private companion object {
--- a/core/src/main/kotlin/mustarddale/rate/SlotLease.kt
+++ b/core/src/main/kotlin/mustarddale/rate/SlotLease.kt
@@ -13,6 +13,10 @@
     /** The slots that may be used at [nowMillis]. */
     public fun usable(nowMillis: Long): Set<Int> = untilMillis.filterValues { nowMillis < it }.keys
 
+    /** When the first of the slots that are usable at [nowMillis] lapses. */
+    public fun validUntilMillis(nowMillis: Long): Long =
+        untilMillis.values.filter { nowMillis < it }.minOrNull() ?: Long.MIN_VALUE
+
     /** All slots held, lapsed ones too. */
     public val slots: Set<Int> get() = untilMillis.keys
 
--- a/instance/src/main/kotlin/mustarddale/instance/Instance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/Instance.kt
@@ -24,6 +24,7 @@
 import mustarddale.instance.caller.AnswerRelay
 import mustarddale.instance.caller.BookingGate
 import mustarddale.instance.caller.CallerApi
+import mustarddale.instance.caller.CallerErrors
 import mustarddale.instance.caller.ChatService
 import mustarddale.instance.caller.HttpPlainClient
 import mustarddale.instance.caller.RouteService
@@ -160,6 +161,7 @@
             .maxNumConnections(settings.maxConnections)
             .maxRequestLength(settings.maxBodyBytes)
             .requestTimeout(Duration.ZERO)
+            .errorHandler(CallerErrors(settings.maxBodyBytes))
             .gracefulShutdownTimeoutMillis(QUIET_MILLIS, settings.drainMillis)
             .service("/health/live", HttpService { _, _ -> text(HttpStatus.OK, "live") })
             .service("/health/ready", HttpService { _, _ -> readiness() })
@@ -246,7 +248,7 @@
             rateSlots = dispatch.limiter.heldSlots,
             peers = mesh.connected.sorted(),
             servers = state.index.configuration.backendServers.map { server ->
-                val view = dispatch.view(server.name)
+                val view = dispatch.servers.view(server.name)
                 ServerStatus(
                     server = server.name,
                     warmth = view.warmth(now).name,
--- a/instance/src/main/kotlin/mustarddale/instance/caller/AnswerRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/AnswerRelay.kt
@@ -100,25 +100,28 @@
         start: Progress,
         sink: AnswerSink
     ): Attempt {
-        val first = attempt(engines.answer(server, call.at(start)), start, sink)
+        val first = attempt(server, engines.answer(server, call.at(start)), start, sink)
         if (first.end !is AttemptEnd.Cut) return first
-        return attempt(engines.resume(server, call.at(first.progress)), first.progress, sink)
+        val rest = engines.resume(server, call.at(first.progress))
+        return attempt(server, rest, first.progress, sink)
     }
 
     private suspend fun attempt(
+        server: BackendServer,
         events: Flow<EngineEvent>,
         start: Progress,
         sink: AnswerSink
     ): Attempt = coroutineScope {
         val channel = events.produceIn(this)
         try {
-            collect(channel, start, sink)
+            collect(server, channel, start, sink)
         } finally {
             channel.cancel()
         }
     }
 
     private suspend fun collect(
+        server: BackendServer,
         channel: ReceiveChannel<EngineEvent>,
         start: Progress,
         sink: AnswerSink
@@ -126,6 +129,7 @@
         var progress = start
         while (true) {
             val event = next(channel)
+            if (event is EngineEvent.Cold) decisions.tell(News.Chilled(server.name))
             val end = if (event is EngineEvent.Frame) {
                 val verdict = progress.assembler.accept(event.frame)
                 if (verdict is FrameVerdict.Deliver) {
@@ -151,7 +155,7 @@
         is EngineEvent.Invalid -> AttemptEnd.Invalid(event.message)
         is EngineEvent.Cut -> AttemptEnd.Cut(event.reason)
         null -> AttemptEnd.Cut("silent for $silenceMillis ms")
-        is EngineEvent.Alive, is EngineEvent.Frame -> null
+        is EngineEvent.Alive, is EngineEvent.Cold, is EngineEvent.Frame -> null
     }
 
     private suspend fun next(channel: ReceiveChannel<EngineEvent>): EngineEvent? = try {
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/CallerErrors.kt
@@ -0,0 +1,40 @@
+package mustarddale.instance.caller
+
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.server.ServerErrorHandler
+import com.linecorp.armeria.server.ServiceConfig
+import com.linecorp.armeria.server.ServiceRequestContext
+import mustarddale.error.ErrorKind
+import mustarddale.error.Refusal
+
+/** Gives errors that the HTTP library finds the same form as all others. */
+public class CallerErrors(private val maxBodyBytes: Long) : ServerErrorHandler {
+    override fun onServiceException(
+        context: ServiceRequestContext,
+        cause: Throwable
+    ): HttpResponse? = null
+
+    override fun onProtocolViolation(
+        config: ServiceConfig,
+        headers: RequestHeaders?,
+        status: HttpStatus,
+        description: String?,
+        cause: Throwable?
+    ): AggregatedHttpResponse? = ErrorAnswer.of(refusal(status, description)).aggregate().join()
+
+    private fun refusal(status: HttpStatus, description: String?): Refusal = when (status) {
+        HttpStatus.REQUEST_ENTITY_TOO_LARGE -> Refusal(
+            ErrorKind.BODY_TOO_LARGE,
+            "the body is longer than $maxBodyBytes bytes",
+            "body"
+        )
+
+        else -> Refusal(
+            ErrorKind.INVALID_REQUEST,
+            description ?: "not a valid HTTP request: $status"
+        )
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/decision/DecisionDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/decision/DecisionDuty.kt
@@ -97,12 +97,13 @@
     }
 
     private fun told(news: News, now: Long): Dispatch = when (news) {
-        is News.Finished -> current.finish(news.server)
-        is News.Failed -> current.fail(news.server, now)
+        is News.Finished -> current.withServers { it.finish(news.server) }
+        is News.Failed -> current.withServers { it.fail(news.server, now) }
+        is News.Chilled -> current.withServers { it.chill(news.server, now) }
+        is News.Reported -> current.withServers { it.report(news.report, now) }
+        is News.PermitReturned -> current.withServers { it.takeBack(news.server) }
         is News.Refunded -> current.refund(news.account, news.tokens, now)
-        is News.Reported -> current.report(news.report, now)
         is News.Controlled -> current.control(news.state, now)
-        is News.PermitReturned -> current.returnPermit(news.server)
     }
 
     /** Something that happened. */
@@ -110,7 +111,10 @@
         /** A request to [server] has ended. */
         public data class Finished(public val server: String) : News
 
-        /** A connection to [server] failed, or it said that it is cold. */
+        /** An answer of [server] said that it is cold. */
+        public data class Chilled(public val server: String) : News
+
+        /** A connection to [server] failed. */
         public data class Failed(public val server: String) : News
 
         /** A request of [account] did not use [tokens], or a peer gave them. */
--- a/instance/src/main/kotlin/mustarddale/instance/decision/SlotDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/decision/SlotDuty.kt
@@ -4,7 +4,6 @@
  */
 package mustarddale.instance.decision
 
-import java.util.concurrent.atomic.AtomicReference
 import mustarddale.control.ControlRecord.SlotsClaimed
 import mustarddale.control.ControlRecord.SlotsReleased
 import mustarddale.control.ControlRecord.SlotsRenewed
@@ -15,9 +14,7 @@
 import mustarddale.instance.log.WriteOutcome
 import mustarddale.rate.SlotAction
 import mustarddale.rate.SlotKeeper
-import mustarddale.rate.SlotLease
 import mustarddale.rate.SlotSituation
-import mustarddale.rate.SlotTable
 import mustarddale.time.Clock
 
 /** Keeps this instance's fair part of the rate slots. */
@@ -29,9 +26,7 @@
     private val appendTimeoutMillis: Long,
     private val liveInstances: () -> Int
 ) : AutoCloseable {
-    private val keeper = AtomicReference(SlotKeeper(records.writer))
-    private var lease = SlotLease()
-    private var lastRenewalSentMillis = Long.MIN_VALUE / 2
+    private var keeper = SlotKeeper(records.writer)
     private var isLeaving = false
     private val duty = PeriodicDuty("slots", INTERVAL_MILLIS, ::tick)
 
@@ -40,7 +35,7 @@
         duty.close()
         synchronized(this) {
             isLeaving = true
-            val held = lease.slots
+            val held = keeper.lease.slots
             if (held.isNotEmpty()) release(held)
         }
     }
@@ -52,50 +47,53 @@
     private fun tick() = synchronized(this) {
         val state = store.state
         val now = clock.monotonicMillis()
-        keeper.updateAndGet { it.observe(state.slots, now) }
+        keeper = keeper.observe(state.slots, now)
         if (isLeaving || state.revision == 0L) return
-        decisions.resize(lease, unheldBefore = 0)
+        use(unheldBefore = 0)
         val situation = SlotSituation(
             table = state.slots,
             limits = state.index.configuration.limits,
             liveInstances = liveInstances(),
-            lastRenewalSentMillis = lastRenewalSentMillis,
             nowMillis = now,
             pinnedSlots = decisions.state.slotsInUse(now)
         )
-        when (val action = keeper.get().plan(situation)) {
-            is SlotAction.Claim -> claim(action, state.slots)
+        when (val action = keeper.plan(situation)) {
+            is SlotAction.Claim -> claim(action)
             is SlotAction.Renew -> renew()
             is SlotAction.Release -> release(action.slots)
             null -> Unit
         }
     }
 
-    private fun claim(action: SlotAction.Claim, before: SlotTable) {
+    private fun claim(action: SlotAction.Claim) {
         val written = write(SlotsClaimed(action.claims)) ?: return
-        val now = store.state.slots
-        val won = action.claims.map { it.slot }
-            .filter { now.entry(it).renewalOffset == written.offset }
-            .toSet()
-        val unheldBefore = won.count { before.entry(it).renewalOffset == SlotTable.NEVER_HELD }
-        lease = lease.add(won, written.sentAtMillis, leaseMillis())
-        decisions.resize(lease, unheldBefore)
+        val result = keeper.claimed(
+            action,
+            store.state.slots,
+            written.offset,
+            written.sentAtMillis,
+            leaseMillis()
+        )
+        keeper = result.keeper
+        use(result.unheldBefore)
     }
 
     private fun renew() {
         val written = write(SlotsRenewed) ?: return
-        lastRenewalSentMillis = written.sentAtMillis
-        val held = store.state.slots.heldBy(records.writer)
-        lease = lease.hold(held, written.sentAtMillis, leaseMillis())
-        decisions.resize(lease, unheldBefore = 0)
+        keeper = keeper.renewed(store.state.slots, written.sentAtMillis, leaseMillis())
+        use(unheldBefore = 0)
     }
 
     private fun release(slots: Set<Int>) {
-        lease = lease.drop(slots)
-        decisions.resize(lease, unheldBefore = 0).join()
+        keeper = keeper.released(slots)
+        use(unheldBefore = 0)
         write(SlotsReleased(slots.toList()))
     }
 
+    private fun use(unheldBefore: Int) {
+        decisions.resize(keeper.lease, unheldBefore).join()
+    }
+
     private fun write(record: mustarddale.control.ControlRecord): WriteOutcome.Written? {
         val outcome = records.append(record, appendTimeoutMillis).join()
         return (outcome as? WriteOutcome.Written)?.takeIf { it.verdict == Verdict.Accepted }
--- a/instance/src/main/kotlin/mustarddale/instance/engine/EngineClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/engine/EngineClient.kt
@@ -40,6 +40,9 @@
     /** A sign of life. */
     public data object Alive : EngineEvent
 
+    /** The engine takes the request although it is cold. */
+    public data object Cold : EngineEvent
+
     /** The engine was never reached, or refused before running. */
     public data class NotRun(public val reason: String, public val isCold: Boolean) : EngineEvent
 
--- a/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
@@ -135,7 +135,8 @@
             emit(refusal(head.status(), head))
             return
         }
-        emit(EngineEvent.Alive)
+        val isCold = head.get(STATE_HEADER) == COLD
+        emit(if (isCold) EngineEvent.Cold else EngineEvent.Alive)
         val events = ServerSentEvents()
         split.body().asFlow().collect { data ->
             events.add(data.array()).forEach { emit(eventOf(it)) }
@@ -144,10 +145,10 @@
     }
 
     private fun refusal(status: HttpStatus, headers: HttpHeaders): EngineEvent {
-        val state = headers.get("x-engine-state")
+        val state = headers.get(STATE_HEADER)
         return when {
             status == HttpStatus.SERVICE_UNAVAILABLE || status == HttpStatus.TOO_MANY_REQUESTS ->
-                EngineEvent.NotRun("status $status", isCold = state == "cold")
+                EngineEvent.NotRun("status $status", isCold = state == COLD)
 
             status == HttpStatus.NOT_FOUND || status == HttpStatus.CONFLICT ->
                 EngineEvent.NotRun("status $status", isCold = false)
@@ -224,6 +225,8 @@
     )
 
     private companion object {
+        const val STATE_HEADER = "x-engine-state"
+        const val COLD = "cold"
         const val DONE = "[DONE]"
         const val LOAD_TIMEOUT_MILLIS = 1_000L
     }
--- a/instance/src/main/kotlin/mustarddale/instance/log/CheckpointDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/log/CheckpointDuty.kt
@@ -5,6 +5,7 @@
 package mustarddale.instance.log
 
 import mustarddale.control.ControlSnapshot
+import mustarddale.control.ControlState
 import mustarddale.instance.duty.PeriodicDuty
 import org.slf4j.LoggerFactory
 
@@ -22,17 +23,24 @@
 
     private fun tick() {
         val state = store.state
-        val behind = state.nextOffset - state.checkpointOffset
-        if (behind < RECORDS_PER_CHECKPOINT || !isOurs()) return
+        if (!isDue(state) || !isOurs()) return
         val chunks = ControlSnapshot.of(state).toChunks()
         log.info("checkpoint through {} in {} chunks", state.nextOffset, chunks.size)
         chunks.map { records.append(it, TIMEOUT_MILLIS) }.forEach { it.join() }
     }
 
+    private fun isDue(state: ControlState): Boolean {
+        val behind = state.nextOffset - state.checkpointOffset
+        val ageMillis = state.lastAppendedAtMillis - state.checkpointAtMillis
+        return behind >= MOST_RECORDS || (behind >= LEAST_RECORDS && ageMillis >= MOST_MILLIS)
+    }
+
     private companion object {
         const val INTERVAL_MILLIS = 1_000L
         const val TIMEOUT_MILLIS = 10_000L
-        const val RECORDS_PER_CHECKPOINT = 1_000L
+        const val MOST_RECORDS = 1_000L
+        const val LEAST_RECORDS = 20L
+        const val MOST_MILLIS = 10 * 60_000L
         val log = LoggerFactory.getLogger(CheckpointDuty::class.java)
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/log/LogTail.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/log/LogTail.kt
@@ -56,7 +56,10 @@
 
     private fun take(result: ReadResult.Read, sentMillis: Long) {
         if (result.endOffset <= nextOffset + result.records.size) lastReadMillis.set(sentMillis)
-        if (result.records.isEmpty()) return
+        if (result.records.isEmpty()) {
+            nextOffset = store.state.nextOffset
+            return
+        }
         if (store.offer(result.records)) nextOffset = result.records.last().offset + 1
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/log/RecordWriter.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/log/RecordWriter.kt
@@ -52,6 +52,7 @@
 
     init {
         store.onFold(::resolve)
+        store.onState(::giveUpOnJumped)
     }
 
     /** Appends [record] and tells its outcome, at the latest after [timeoutMillis]. */
@@ -145,6 +146,17 @@
         if (!isInTime && folded.verdict == Verdict.Accepted) pending.whenLate()
     }
 
+    /** A state that came whole hides what became of the records in it. */
+    private fun giveUpOnJumped(state: ControlState) {
+        val lastSequence = state.writers[writer]?.lastSequence ?: return
+        waiting.keys.filter { it <= lastSequence }.forEach { hidden ->
+            waiting.remove(hidden)?.let {
+                it.outcome.complete(WriteOutcome.Unresolved)
+                it.whenLate()
+            }
+        }
+    }
+
     /** Readers drop a record that comes behind a later one, so its outcome is known. */
     private fun dropOvertaken(sequence: Long) {
         waiting.keys.filter { it < sequence }.forEach { overtaken ->
