Prove the agreed state, rates, memory, bookings and streams by tables and properties

Cause: the mechanisms had no failure tests. Writing them found five real faults, each now with the test that failed first: - ledger: a report from before a load was taken dropped the load (an engine then held 120 of 100 bytes; property). Orders now carry the engine's last report before they were taken, and only later reports show absence. - ledger: a load that landed behind its unload was dropped as it landed. - rates: a bucket filled on behind the lease, while the next holder filled too (over by 1046 tokens). - rates: a claim that was folded after its slots had lapsed filled the other slots. - slots: claims before the first configuration gave slots that do not exist (8 held of 6, over by 27 tokens). Ruled out for the last one: transfers, late renewals (no slot was held twice).

--- a/core/src/main/kotlin/mustarddale/control/ControlRecord.kt
+++ b/core/src/main/kotlin/mustarddale/control/ControlRecord.kt
@@ -10,6 +10,7 @@
 import mustarddale.idempotency.StoredAnswer
 import mustarddale.memory.HeldArtifact
 import mustarddale.memory.OrderKind
+import mustarddale.memory.ReportNumber
 import mustarddale.rate.SlotClaim
 
 /** A record as the log service hands it out. */
@@ -88,29 +89,30 @@
         public val artifact: String
     ) : ControlRecord
 
-    /** An engine has [accepted] the order whose record stands at [orderOffset], or refused it. */
+    /**
+     * An engine has taken the order whose record stands at [orderOffset], or refused it.
+     *
+     * @property takenAfter the engine's last report before it took the order, null if it refused.
+     */
     @Serializable
     @SerialName("orderAnswered")
     public data class OrderAnswered(
         public val server: String,
         public val artifact: String,
         public val orderOffset: Long,
-        public val accepted: Boolean
+        public val takenAfter: ReportNumber?
     ) : ControlRecord
 
     /**
      * What a load report of an engine showed in its memory, loaded or being loaded.
      *
-     * @property bootNumber grows with each start of the engine.
-     * @property reportSequence grows with each report since that start.
      * @property appliedFence the number of the last order that the engine took.
      */
     @Serializable
     @SerialName("residencyObserved")
     public data class ResidencyObserved(
         public val server: String,
-        public val bootNumber: Long,
-        public val reportSequence: Long,
+        public val number: ReportNumber,
         public val appliedFence: Long,
         public val held: List<HeldArtifact>
     ) : ControlRecord
--- a/core/src/main/kotlin/mustarddale/control/ControlState.kt
+++ b/core/src/main/kotlin/mustarddale/control/ControlState.kt
@@ -31,6 +31,7 @@
 import mustarddale.error.then
 import mustarddale.idempotency.IntentTable
 import mustarddale.memory.MemoryLedger
+import mustarddale.rate.SlotClaim
 import mustarddale.rate.SlotTable
 
 /** What the fold made of a record. */
@@ -111,7 +112,7 @@
             is ChangeProposed -> applyChange(envelope, record, offset)
 
             is SlotsClaimed -> {
-                val claimed = slots.claim(record.claims, writer, offset)
+                val claimed = slots.claim(knownSlots(record.claims), writer, offset)
                 result(claimed?.let { copy(slots = it) }, envelope, "slots are held")
             }
 
@@ -196,6 +197,12 @@
         return Outcome.Failure(Refusal(ErrorKind.INVALID_REQUEST, message, field))
     }
 
+    /** Before there is a configuration nobody knows how many slots there are. */
+    private fun knownSlots(claims: List<SlotClaim>): List<SlotClaim> {
+        val rateSlots = if (revision == 0L) 0 else index.configuration.limits.rateSlots
+        return claims.filter { it.slot in 0 until rateSlots }
+    }
+
     private fun countCheckpoint(chunk: CheckpointChunk): ControlState =
         if (chunk.index == chunk.count - 1) {
             copy(
--- a/core/src/main/kotlin/mustarddale/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/mustarddale/dispatch/Dispatch.kt
@@ -48,7 +48,7 @@
     /** Takes in the agreed [state]. */
     public fun control(state: ControlState, nowMillis: Long): Dispatch {
         val next = copy(index = state.index, ledger = state.ledger)
-        return if (state.index === index) next else next.resize(lease, 0, nowMillis)
+        return if (state.index === index) next else next.resize(lease, emptySet(), nowMillis)
     }
 
     /** Changes what is known of the backend servers. */
@@ -58,21 +58,21 @@
     /**
      * Uses the slots of [lease] from now on.
      *
-     * @param unheldBefore how many of them were never held by anyone.
+     * @param freshSlots those that were never held by anyone before.
      */
-    public fun resize(lease: SlotLease, unheldBefore: Int, nowMillis: Long): Dispatch {
-        val totalSlots = index.configuration.limits.rateSlots
+    public fun resize(lease: SlotLease, freshSlots: Set<Int>, nowMillis: Long): Dispatch {
+        val configuration = index.configuration
+        val totalSlots = configuration.limits.rateSlots
         val usable = lease.usable(nowMillis)
         return copy(
             lease = lease,
-            coldPermits = ColdPermits.of(usable, totalSlots, index.configuration.backendServers),
+            coldPermits = ColdPermits.of(usable, totalSlots, configuration.backendServers),
             limiter = limiter.resize(
-                heldSlots = usable.size,
-                totalSlots = totalSlots,
-                accounts = index.configuration.clientAccounts,
-                unheldBefore = unheldBefore,
-                validUntilMillis = lease.validUntilMillis(nowMillis),
-                nowMillis = nowMillis
+                lease,
+                totalSlots,
+                configuration.clientAccounts,
+                freshSlots,
+                nowMillis
             )
         )
     }
--- a/core/src/main/kotlin/mustarddale/dispatch/ServerView.kt
+++ b/core/src/main/kotlin/mustarddale/dispatch/ServerView.kt
@@ -46,11 +46,8 @@
     public fun distrust(nowMillis: Long): ServerView =
         copy(reportedAtMillis = nowMillis - REPORT_VALID_MILLIS - 1)
 
-    private fun isOutdated(next: LoadReport): Boolean {
-        val known = report ?: return false
-        if (next.bootNumber != known.bootNumber) return next.bootNumber < known.bootNumber
-        return next.reportSequence <= known.reportSequence
-    }
+    private fun isOutdated(next: LoadReport): Boolean =
+        report != null && next.number <= report.number
 
     public companion object {
         /** How long a load report is believed. */
--- a/core/src/main/kotlin/mustarddale/memory/MemoryLedger.kt
+++ b/core/src/main/kotlin/mustarddale/memory/MemoryLedger.kt
@@ -27,13 +27,22 @@
 @Serializable
 public data class HeldArtifact(public val name: String, public val memoryBytes: Long)
 
+/**
+ * The place of a load report among all reports of one engine.
+ *
+ * @property boot grows with each start of the engine.
+ * @property sequence grows with each report since that start.
+ */
+@Serializable
+public data class ReportNumber(public val boot: Long, public val sequence: Long) :
+    Comparable<ReportNumber> {
+    override fun compareTo(other: ReportNumber): Int =
+        compareValuesBy(this, other, { it.boot }, { it.sequence })
+}
+
 /** The newest load report of [server] that the ledger has taken in. */
 @Serializable
-public data class ReportMark(
-    public val server: String,
-    public val bootNumber: Long,
-    public val reportSequence: Long
-)
+public data class ReportMark(public val server: String, public val number: ReportNumber)
 
 /** How far an artifact is in its life on one engine. */
 @Serializable
@@ -58,6 +67,8 @@
  * @property openLoads offsets of load orders whose message has no known outcome.
  * @property orderOffset offset of the newest order, which is its fencing number.
  * @property orderedAtMillis when the log took the newest order.
+ * @property takenAfter the last report before the engine took a load order; that report and those
+ *   before it do not show what became of the order.
  */
 @Serializable
 public data class LedgerEntry(
@@ -67,7 +78,8 @@
     public val residency: Residency,
     public val openLoads: List<Long>,
     public val orderOffset: Long,
-    public val orderedAtMillis: Long
+    public val orderedAtMillis: Long,
+    public val takenAfter: ReportNumber? = null
 )
 
 /** The key of a [LedgerEntry]. */
@@ -114,13 +126,14 @@
     public fun answer(record: OrderAnswered): MemoryLedger {
         val entry = find(record.server, record.artifact) ?: return this
         val resolved = entry.copy(openLoads = entry.openLoads - record.orderOffset)
-        val wasRefused = !record.accepted && entry.orderOffset == record.orderOffset
-        if (!wasRefused) return put(dropIfUnresolved(resolved), entry)
-        return when (entry.residency) {
-            Residency.LOADING -> put(dropIfUnresolved(asUnresolved(resolved)), entry)
-            Residency.UNLOADING -> put(resolved.copy(residency = Residency.RESIDENT), entry)
-            else -> put(resolved, entry)
-        }
+        val takenAfter = record.takenAfter ?: return refused(record, entry, resolved)
+        if (record.orderOffset !in entry.openLoads) return this
+        val wasUnresolved = entry.residency == Residency.UNRESOLVED
+        val next = resolved.copy(
+            takenAfter = maxOf(takenAfter, entry.takenAfter ?: takenAfter),
+            residency = if (wasUnresolved) Residency.LOADING else entry.residency
+        )
+        return put(next, entry)
     }
 
     /** Takes in what a report shows, unless a newer report of that engine was taken in before. */
@@ -130,34 +143,36 @@
         val held = record.held.associateBy { it.name }
         val known = entries(record.server).fold(this) { ledger, entry ->
             val settled = settleLoads(entry, record, server)
-            val isApplied = isApplied(entry, record, server)
-            ledger.put(observeEntry(settled, held[entry.artifact], isApplied), entry)
+            ledger.put(observeEntry(settled, held[entry.artifact], record), entry)
         }
         val complete = record.held.fold(known) { ledger, artifact ->
             ledger.addSeen(record, artifact)
         }
-        val mark = ReportMark(record.server, record.bootNumber, record.reportSequence)
+        val mark = ReportMark(record.server, record.number)
         return complete.copy(marks = marks.put(record.server, mark))
     }
 
     private fun isOld(record: ResidencyObserved): Boolean {
         val mark = marks[record.server] ?: return false
-        if (record.bootNumber != mark.bootNumber) return record.bootNumber < mark.bootNumber
-        return record.reportSequence <= mark.reportSequence
+        return record.number <= mark.number
     }
 
-    /**
-     * Whether the engine has surely taken, or will never take, the newest order for [entry]. An
-     * engine that ignores fencing numbers may take a later order first.
-     */
-    private fun isApplied(
+    private fun refused(
+        record: OrderAnswered,
         entry: LedgerEntry,
-        record: ResidencyObserved,
-        server: BackendServer
-    ): Boolean = if (server.checksFencing) {
-        record.appliedFence >= entry.orderOffset
-    } else {
-        record.appliedFence == entry.orderOffset
+        resolved: LedgerEntry
+    ): MemoryLedger {
+        val isNewest = entry.orderOffset == record.orderOffset
+        val next = when {
+            isNewest && entry.residency == Residency.UNLOADING ->
+                resolved.copy(residency = Residency.RESIDENT)
+
+            isNewest && entry.residency == Residency.LOADING && entry.takenAfter == null ->
+                asUnresolved(resolved)
+
+            else -> resolved
+        }
+        return put(dropIfUnresolved(next), entry)
     }
 
     private fun settleLoads(
@@ -256,16 +271,17 @@
     private fun observeEntry(
         entry: LedgerEntry,
         held: HeldArtifact?,
-        isApplied: Boolean
+        record: ResidencyObserved
     ): LedgerEntry? {
         if (held != null) return observeHeld(entry, held)
-        return when (entry.residency) {
-            Residency.RESIDENT, Residency.UNLOADING -> dropIfUnresolved(asUnresolved(entry))
-
-            Residency.LOADING -> entry.takeUnless { isApplied && entry.openLoads.isEmpty() }
+        val takenAfter = entry.takenAfter
+        val isTooEarly = takenAfter != null && record.number <= takenAfter
+        return if (isTooEarly) entry else dropIfUnresolved(observeAbsent(entry))
+    }
 
-            Residency.UNRESOLVED -> dropIfUnresolved(entry)
-        }
+    private fun observeAbsent(entry: LedgerEntry): LedgerEntry {
+        val isLoading = entry.residency == Residency.LOADING && entry.openLoads.isNotEmpty()
+        return if (isLoading) entry else asUnresolved(entry)
     }
 
     private fun observeHeld(entry: LedgerEntry, held: HeldArtifact): LedgerEntry {
--- a/core/src/main/kotlin/mustarddale/rate/RateLimiter.kt
+++ b/core/src/main/kotlin/mustarddale/rate/RateLimiter.kt
@@ -38,37 +38,36 @@
     private val buckets: PersistentMap<String, TokenBucket> = persistentMapOf()
 ) {
     /**
-     * Changes the share of this instance; buckets keep what still fits.
+     * Spends from the slots of [lease] from now on; buckets keep what still fits.
      *
-     * @param unheldBefore how many of the slots gained were never held by anyone, and so come full.
+     * @param freshSlots those that were never held by anyone before, and so come full.
      */
     public fun resize(
-        heldSlots: Int,
+        lease: SlotLease,
         totalSlots: Int,
         accounts: List<ClientAccount>,
-        unheldBefore: Int,
-        validUntilMillis: Long,
+        freshSlots: Set<Int>,
         nowMillis: Long
     ): RateLimiter {
+        val usable = lease.usable(nowMillis)
         val next = copy(
-            heldSlots = heldSlots,
+            heldSlots = usable.size,
             totalSlots = totalSlots,
-            validUntilMillis = validUntilMillis
+            validUntilMillis = lease.validUntilMillis(nowMillis)
         )
         val resized = accounts.associate { account ->
-            val before = buckets[account.name] ?: empty(nowMillis)
+            val before = buckets[account.name]?.fill(nowMillis) ?: empty(nowMillis)
             val capacity = next.capacityTokens(account)
-            val perMilli = next.tokensPerMilli(account)
-            val gift = capacity / heldSlots.coerceAtLeast(1) * unheldBefore
-            val bucket = before.advance(nowMillis).resize(capacity, perMilli).put(gift)
-            account.name to bucket
+            val gift = capacity / usable.size.coerceAtLeast(1) * usable.count { it in freshSlots }
+            val bucket = before.resize(capacity, next.tokensPerMilli(account)).put(gift)
+            account.name to bucket.copy(atMillis = nowMillis)
         }
         return next.copy(buckets = persistentMapOf<String, TokenBucket>().putAll(resized))
     }
 
     /** Takes [tokens] for [account]. */
     public fun take(account: String, tokens: Double, nowMillis: Long): RateVerdict {
-        val bucket = (buckets[account] ?: empty(nowMillis)).advance(nowMillis)
+        val bucket = (buckets[account] ?: empty(nowMillis)).fill(nowMillis)
         val level = if (isValid(nowMillis)) bucket.level else 0.0
         if (tokens > level) return RateVerdict.Short(this, tokens - level)
         return RateVerdict.Taken(with(account, bucket.take(tokens)))
@@ -76,7 +75,7 @@
 
     /** Takes up to [tokens] out for another instance. */
     public fun give(account: String, tokens: Double, nowMillis: Long): Given {
-        val bucket = (buckets[account] ?: empty(nowMillis)).advance(nowMillis)
+        val bucket = (buckets[account] ?: empty(nowMillis)).fill(nowMillis)
         val given = if (isValid(nowMillis)) tokens.coerceIn(0.0, bucket.level) else 0.0
         return Given(with(account, bucket.take(given)), given)
     }
@@ -84,18 +83,22 @@
     /** Puts back tokens that a request did not use, or that came from another instance. */
     public fun put(account: String, tokens: Double, nowMillis: Long): RateLimiter {
         val bucket = buckets[account] ?: return this
-        return with(account, bucket.advance(nowMillis).put(tokens))
+        return with(account, bucket.fill(nowMillis).put(tokens))
     }
 
     /** What [account] could spend here at [nowMillis]. */
     public fun level(account: String, nowMillis: Long): Double {
         if (!isValid(nowMillis)) return 0.0
-        return buckets[account]?.advance(nowMillis)?.level ?: 0.0
+        return buckets[account]?.fill(nowMillis)?.level ?: 0.0
     }
 
     /** Whether the slots may still be used at [nowMillis]. */
     public fun isValid(nowMillis: Long): Boolean = nowMillis < validUntilMillis
 
+    /** Fills only up to the end of validity: behind it, others may fill from the same slots. */
+    private fun TokenBucket.fill(nowMillis: Long): TokenBucket =
+        advance(minOf(nowMillis, validUntilMillis))
+
     private fun with(account: String, bucket: TokenBucket): RateLimiter =
         copy(buckets = buckets.put(account, bucket))
 
--- a/core/src/main/kotlin/mustarddale/rate/SlotKeeper.kt
+++ b/core/src/main/kotlin/mustarddale/rate/SlotKeeper.kt
@@ -22,8 +22,8 @@
     public data class Release(public val slots: Set<Int>) : SlotAction
 }
 
-/** A keeper after a claim; [unheldBefore] of the slots gained were never held by anyone. */
-public data class ClaimResult(public val keeper: SlotKeeper, public val unheldBefore: Int)
+/** A keeper after a claim; [freshSlots] of the slots gained were never held by anyone. */
+public data class ClaimResult(public val keeper: SlotKeeper, public val freshSlots: Set<Int>)
 
 /** Where slots stand when [SlotKeeper] plans. */
 public data class SlotSituation(
@@ -66,7 +66,9 @@
         }
         val claims = claimable(situation).take((target - held.size).coerceAtLeast(0))
         if (claims.isNotEmpty()) return SlotAction.Claim(claims)
-        return SlotAction.Renew.takeIf { held.isNotEmpty() && isRenewalDue(situation) }
+        val isUnused = (held - lease.usable(situation.nowMillis)).isNotEmpty()
+        val isDue = held.isNotEmpty() && isRenewalDue(situation)
+        return SlotAction.Renew.takeIf { isUnused || isDue }
     }
 
     /** Takes in that [claim], sent at [sentAtMillis], was folded at [offset] into [table]. */
@@ -85,7 +87,9 @@
                 lease = lease.add(slots, sentAtMillis, leaseMillis),
                 lastRenewalSentMillis = if (isFirst) sentAtMillis else lastRenewalSentMillis
             ),
-            unheldBefore = won.count { it.seenRenewalOffset == SlotTable.NEVER_HELD }
+            freshSlots = won.filter { it.seenRenewalOffset == SlotTable.NEVER_HELD }
+                .map { it.slot }
+                .toSet()
         )
     }
 
--- a/core/src/main/kotlin/mustarddale/routing/LoadReport.kt
+++ b/core/src/main/kotlin/mustarddale/routing/LoadReport.kt
@@ -2,12 +2,11 @@
 
 import kotlinx.serialization.Serializable
 import mustarddale.memory.HeldArtifact
+import mustarddale.memory.ReportNumber
 
 /**
  * What an engine says of itself.
  *
- * @property bootNumber grows with each start of the engine.
- * @property reportSequence grows with each report since that start.
  * @property running requests in its batch.
  * @property waiting requests behind the batch.
  * @property ready artifacts that can serve at once.
@@ -17,8 +16,7 @@
 @Serializable
 public data class LoadReport(
     public val server: String,
-    public val bootNumber: Long,
-    public val reportSequence: Long,
+    public val number: ReportNumber,
     public val warmth: Warmth,
     public val running: Int,
     public val waiting: Int,
--- a/core/src/test/kotlin/mustarddale/control/ControlStateTest.kt
+++ b/core/src/test/kotlin/mustarddale/control/ControlStateTest.kt
@@ -9,8 +9,11 @@
 import mustarddale.config.ConfigurationChange.IssueKey
 import mustarddale.config.ConfigurationChange.SetDomain
 import mustarddale.config.ConfigurationChange.WithdrawKey
+import mustarddale.control.ControlRecord.SlotsClaimed
 import mustarddale.error.ErrorKind
 import mustarddale.key.KeyDigest
+import mustarddale.rate.SlotClaim
+import mustarddale.rate.SlotTable
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 
@@ -61,6 +64,29 @@
         }
     }
 
+    @Test
+    fun `slots that the configuration does not have cannot be claimed`() {
+        val log = FakeLog()
+        val early = SlotsClaimed(listOf(SlotClaim(0, SlotTable.NEVER_HELD)))
+        log.append(Fixtures.second, early)
+        log.append(Fixtures.first, Fixtures.replace())
+        val claims = listOf(5, 6, 59).map { SlotClaim(it, SlotTable.NEVER_HELD) }
+        log.append(Fixtures.second, SlotsClaimed(claims))
+        assertEquals(setOf(5), log.fold().slots.heldBy(Fixtures.second))
+    }
+
+    @Test
+    fun `the number of slots and their lease stay as they are`() {
+        val limits = Fixtures.configuration.limits
+        listOf(limits.copy(rateSlots = 7), limits.copy(slotLeaseMillis = 20_000)).forEach {
+            val log = FakeLog()
+            log.append(Fixtures.first, Fixtures.replace())
+            val changed = Fixtures.configuration.copy(limits = it)
+            log.append(Fixtures.first, Fixtures.replace(changed, base = 1))
+            assertIs<Verdict.Rejected>(log.verdicts().last())
+        }
+    }
+
     @Test
     fun `a record that cannot be read is passed over by every replica`() {
         val log = FakeLog()
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/control/ReplayTest.kt
@@ -0,0 +1,89 @@
+package mustarddale.control
+
+import java.util.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import mustarddale.config.ApiKey
+import mustarddale.config.ConfigurationChange.IssueKey
+import mustarddale.control.ControlRecord.IntentOpened
+import mustarddale.key.KeyDigest
+import net.jqwik.api.AfterFailureMode
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.ShrinkingMode
+
+class ReplayTest {
+    private fun busyLog(changes: Int): FakeLog {
+        val log = FakeLog()
+        log.append(Fixtures.first, Fixtures.replace())
+        repeat(changes) {
+            log.nowMillis += 1_000
+            val key = ApiKey("k$it", KeyDigest.of("k$it"))
+            log.append(Fixtures.first, Fixtures.proposed(IssueKey("yard", key)))
+            log.append(Fixtures.second, IntentOpened("i$it", "body", null))
+        }
+        return log
+    }
+
+    private fun FakeLog.checkpoint(chunkChars: Int): List<LogRecord> =
+        ControlSnapshot.of(fold()).toChunks(chunkChars).map { append(Fixtures.second, it) }
+
+    private fun replay(records: List<LogRecord>): ControlState? =
+        Replay().apply { records.forEach(::add) }.state()
+
+    private fun assertSame(expected: ControlState, actual: ControlState?) {
+        assertNotNull(actual)
+        assertEquals(expected.revision, actual.revision)
+        assertEquals(expected.nextOffset, actual.nextOffset)
+        assertEquals(expected.index.configuration, actual.index.configuration)
+        assertEquals(expected.intents.entries(), actual.intents.entries())
+        assertEquals(expected.writers, actual.writers)
+        assertEquals(expected.audit.toList(), actual.audit.toList())
+    }
+
+    @Test
+    fun `a checkpoint and the tail behind it give the same state as the whole log`() {
+        val log = busyLog(30)
+        val chunks = log.checkpoint(1_000)
+        log.append(Fixtures.first, IntentOpened("behind", "body", null))
+        assertSame(log.fold(), replay(log.records.drop(chunks.first().offset.toInt())))
+    }
+
+    @Test
+    fun `a checkpoint whose writer died half-way is passed over`() {
+        val log = busyLog(10)
+        val whole = log.checkpoint(1_000)
+        val second = log.checkpoint(1_000)
+        log.records.removeAll(second.drop(1))
+        val shown = log.records.drop(whole.first().offset.toInt())
+        assertSame(log.fold(), replay(shown))
+    }
+
+    @Test
+    fun `without the first record or a whole checkpoint there is no state`() {
+        val log = busyLog(10)
+        log.checkpoint(1_000)
+        assertNull(replay(log.records.drop(5).dropLast(1)))
+    }
+
+    @Property(
+        seed = "20261204",
+        tries = 150,
+        shrinking = ShrinkingMode.OFF,
+        afterFailure = AfterFailureMode.RANDOM_SEED
+    )
+    fun `wherever the log starts, replay gives the whole state or none`(@ForAll seed: Long) {
+        val random = Random(seed)
+        val log = busyLog(1 + random.nextInt(12))
+        repeat(random.nextInt(3)) {
+            log.checkpoint(300 + random.nextInt(3_000))
+            log.append(Fixtures.second, IntentOpened("c$it", "body", null))
+        }
+        val start = random.nextInt(log.records.size)
+        val state = replay(log.records.drop(start))
+        if (state != null) assertSame(log.fold(), state)
+        if (start == 0) assertNotNull(state)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/dispatch/DispatchTest.kt
@@ -0,0 +1,139 @@
+package mustarddale.dispatch
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import mustarddale.config.Availability
+import mustarddale.config.Configuration
+import mustarddale.config.ConfigurationIndex
+import mustarddale.control.Fixtures
+import mustarddale.dispatch.Admission.Admitted
+import mustarddale.dispatch.Admission.NeedsPermit
+import mustarddale.dispatch.Admission.NotResident
+import mustarddale.dispatch.Admission.Refused
+import mustarddale.dispatch.Admission.ShortOfTokens
+import mustarddale.memory.ReportNumber
+import mustarddale.rate.SlotLease
+import mustarddale.routing.LoadReport
+import mustarddale.routing.Warmth
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+
+class DispatchTest {
+    private val now = 1_000L
+    private val work = Work("writer", "yard", model = "m1", reservedTokens = 100.0)
+    private val allSlots = SlotLease().hold((0 until 6).toSet(), now, 60_000)
+
+    private fun report(
+        server: String,
+        warmth: Warmth = Warmth.WARM,
+        ready: List<String> = listOf("m1"),
+        running: Int = 0,
+        sequence: Long = 1
+    ) = LoadReport(server, ReportNumber(1, sequence), warmth, running, 0, ready, emptyList(), 0)
+
+    private fun dispatch(
+        vararg reports: LoadReport,
+        configuration: Configuration = Fixtures.configuration,
+        lease: SlotLease = allSlots
+    ): Dispatch {
+        val start = Dispatch(index = ConfigurationIndex(configuration))
+            .resize(lease, freshSlots = (0 until 6).toSet(), nowMillis = now)
+        return reports.fold(start) { dispatch, report ->
+            dispatch.withServers { it.report(report, now) }
+        }
+    }
+
+    private fun Configuration.domainOut(name: String): Configuration = copy(
+        failureDomains = failureDomains.map {
+            if (it.name == name) it.copy(state = Availability.OUT) else it
+        }
+    )
+
+    private fun Configuration.serverOut(name: String): Configuration = copy(
+        backendServers = backendServers.map {
+            if (it.name == name) it.copy(state = Availability.OUT) else it
+        }
+    )
+
+    private val both = arrayOf(report("e1"), report("e2"))
+    private val out = Fixtures.configuration.domainOut("north")
+    private val rows: List<Triple<String, Dispatch, (Admission) -> Boolean>> = listOf(
+        Triple("a resident model is served", dispatch(*both)) { it is Admitted },
+        Triple("a domain that is out gets nothing", dispatch(*both, configuration = out)) {
+            it == Admitted("e2")
+        },
+        Triple(
+            "a leaving server gets nothing",
+            dispatch(*both, configuration = Fixtures.configuration.serverOut("e2"))
+        ) { it == Admitted("e1") },
+        Triple(
+            "no server in at all is a refusal",
+            dispatch(*both, configuration = out.serverOut("e2"))
+        ) { it is Refused },
+        Triple("a model that is nowhere must be loaded", dispatch(report("e1", ready = listOf()))) {
+            it == NotResident("writer", "m1")
+        },
+        Triple(
+            "without slots there are no tokens",
+            dispatch(*both, lease = SlotLease())
+        ) { it is ShortOfTokens },
+        Triple(
+            "a warm server goes before a cold one",
+            dispatch(report("e1", Warmth.COLD), report("e2"))
+        ) { it == Admitted("e2") }
+    )
+
+    @TestFactory
+    fun `decides on a request`(): List<DynamicTest> = rows.map { (name, dispatch, isExpected) ->
+        DynamicTest.dynamicTest(name) {
+            val decision = dispatch.admit(work, now, draw = 1).decision
+            assertTrue(isExpected(decision), "$decision")
+        }
+    }
+
+    @Test
+    fun `a holder frozen past its lease spends nothing when it wakes`() {
+        val late = now + 60_000
+        val woken = dispatch(*both).withServers { it.report(report("e1", sequence = 2), late) }
+        assertIs<ShortOfTokens>(woken.admit(work, late, draw = 1).decision)
+    }
+
+    @Test
+    fun `an old report makes a server count as cold`() {
+        val late = now + ServerView.REPORT_VALID_MILLIS + 1
+        val dispatch = dispatch(report("e1"))
+        val first = dispatch.admit(work, late, draw = 1)
+        assertEquals(Admitted("e1"), first.decision)
+        assertIs<NeedsPermit>(first.state.admit(work, late, draw = 1).decision)
+    }
+
+    @Test
+    fun `a fleet sends a cold server no more than it can bear, loans included`() {
+        val servers = Fixtures.configuration.backendServers.map { it.copy(coldRequests = 2) }
+        val cold = Fixtures.configuration.copy(backendServers = servers)
+        val nodes = (0 until 6).map { slot ->
+            val lease = SlotLease().hold(setOf(slot), now, 60_000)
+            dispatch(report("e1", Warmth.COLD), configuration = cold, lease = lease)
+        }.toMutableList()
+        var inFlight = 0
+        repeat(60) { round ->
+            val at = round % nodes.size
+            val decided = nodes[at].admit(work, now, round)
+            nodes[at] = decided.state
+            if (decided.decision is Admitted) inFlight++
+            if (decided.decision is NeedsPermit) {
+                val lender = nodes.indices.firstOrNull { nodes[it].lendPermit("e1", now).decision }
+                if (lender != null) {
+                    nodes[lender] = nodes[lender].lendPermit("e1", now).state
+                    val loaned = nodes[at].admitOnLoan(work, "e1", now)
+                    nodes[at] = loaned.state
+                    if (loaned.decision is Admitted) inFlight++
+                }
+            }
+            assertTrue(inFlight <= 2, "$inFlight requests at a server that bears 2")
+        }
+        assertEquals(2, inFlight)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/memory/LedgerRun.kt
@@ -0,0 +1,79 @@
+package mustarddale.memory
+
+import java.util.random.RandomGenerator
+import mustarddale.control.ControlRecord
+import mustarddale.control.ControlRecord.OrderAnswered
+import mustarddale.control.ControlRecord.OrderProposed
+import mustarddale.control.ControlRecord.ResidencyObserved
+import mustarddale.control.ControlState
+import mustarddale.control.FakeLog
+import mustarddale.control.Fixtures
+import mustarddale.control.Verdict
+
+/** Two engines, and instances whose orders, answers and reports come late, crossed or never. */
+class LedgerRun(private val random: RandomGenerator) {
+    private val log = FakeLog()
+    private val engines = listOf(EngineFake("e1", true), EngineFake("e2", false))
+    private val orders = mutableListOf<Pair<EngineFake, OrderMessage>>()
+    private val answers = mutableListOf<ControlRecord>()
+    private val reports = mutableListOf<ResidencyObserved>()
+    private var state: ControlState = ControlState.EMPTY
+    var landed = 0
+        private set
+
+    init {
+        append(Fixtures.replace())
+    }
+
+    fun step() {
+        log.nowMillis += random.nextLong(4_000)
+        val engine = engines[random.nextInt(engines.size)]
+        when (random.nextInt(12)) {
+            0, 1, 2 -> propose(engine, OrderKind.LOAD)
+            3, 4 -> propose(engine, OrderKind.UNLOAD)
+            5, 6 -> reports.add(engine.report())
+            7, 8 -> if (reports.isNotEmpty()) append(reports.removeAt(pick(reports)))
+            9, 10 -> land()
+            else -> rarely(engine)
+        }
+        check(engine.heldBytes <= Fixtures.ENGINE_BYTES) {
+            "${engine.name} holds ${engine.heldBytes} bytes"
+        }
+    }
+
+    private fun rarely(engine: EngineFake) {
+        when (random.nextInt(4)) {
+            0 -> engine.restart()
+            1 -> if (orders.isNotEmpty()) orders.removeAt(pick(orders))
+            2 -> if (answers.isNotEmpty()) answers.removeAt(pick(answers))
+            else -> if (answers.isNotEmpty()) append(answers.removeAt(pick(answers)))
+        }
+    }
+
+    private fun propose(engine: EngineFake, kind: OrderKind) {
+        val artifact = "m${1 + random.nextInt(3)}"
+        val offset = log.records.size.toLong()
+        val verdict = append(OrderProposed(engine.name, kind, artifact))
+        if (verdict == Verdict.Accepted) {
+            orders.add(engine to OrderMessage(kind, artifact, 40, offset))
+        }
+    }
+
+    private fun land() {
+        if (orders.isEmpty()) return
+        val (engine, message) = orders.removeAt(pick(orders))
+        val takenAfter = engine.take(message)
+        if (takenAfter != null) landed++
+        answers.add(OrderAnswered(engine.name, message.artifact, message.fence, takenAfter))
+        if (random.nextBoolean()) append(answers.removeAt(pick(answers)))
+    }
+
+    private fun append(record: ControlRecord): Verdict {
+        val writer = if (random.nextBoolean()) Fixtures.first else Fixtures.second
+        val folded = state.fold(log.append(writer, record))
+        state = folded.state
+        return folded.verdict
+    }
+
+    private fun pick(list: List<*>): Int = random.nextInt(list.size)
+}
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/rate/RateFleetTest.kt
@@ -0,0 +1,20 @@
+package mustarddale.rate
+
+import java.util.Random
+import net.jqwik.api.AfterFailureMode
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.ShrinkingMode
+
+class RateFleetTest {
+    @Property(
+        seed = "20261204",
+        tries = 300,
+        shrinking = ShrinkingMode.OFF,
+        afterFailure = AfterFailureMode.RANDOM_SEED
+    )
+    fun `no interleaving of faults lets an account pass its rate and burst`(@ForAll seed: Long) {
+        val fleet = RateFleet(Random(seed), leaseMillis = 20_000)
+        repeat(800) { fleet.step() }
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/decision/DecisionDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/decision/DecisionDuty.kt
@@ -44,8 +44,8 @@
         ask(false) { Event.LendPermit(server, it) }
 
     /** Uses the slots of [lease] from now on; the future ends when it does. */
-    public fun resize(lease: SlotLease, unheldBefore: Int): CompletableFuture<Boolean> =
-        ask(false) { Event.Resize(lease, unheldBefore, it) }
+    public fun resize(lease: SlotLease, freshSlots: Set<Int>): CompletableFuture<Boolean> =
+        ask(false) { Event.Resize(lease, freshSlots, it) }
 
     /** Tells of something that happened and needs no answer. */
     public fun tell(news: News): Boolean = duty.offer(Event.Told(news))
@@ -88,7 +88,7 @@
             }
 
             is Event.Resize -> {
-                current = current.resize(event.lease, event.unheldBefore, now)
+                current = current.resize(event.lease, event.freshSlots, now)
                 event.answer.complete(true)
             }
 
@@ -146,7 +146,7 @@
 
         class Resize(
             val lease: SlotLease,
-            val unheldBefore: Int,
+            val freshSlots: Set<Int>,
             val answer: CompletableFuture<Boolean>
         ) : Event
 
--- a/instance/src/main/kotlin/mustarddale/instance/decision/PlacementDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/decision/PlacementDuty.kt
@@ -68,9 +68,12 @@
             engines.order(server, EngineOrder(order.kind, order.artifact, bytes, offset))
         }
         log.info("order {} to {}: {}", order, server.name, answer)
-        if (answer == OrderAnswer.UNKNOWN) return
-        val isAccepted = answer == OrderAnswer.ACCEPTED
-        val answered = OrderAnswered(order.server, order.artifact, offset, isAccepted)
+        val takenAfter = when (answer) {
+            is OrderAnswer.Accepted -> answer.lastReport
+            is OrderAnswer.Refused -> null
+            is OrderAnswer.Unknown -> return
+        }
+        val answered = OrderAnswered(order.server, order.artifact, offset, takenAfter)
         records.append(answered, appendTimeoutMillis)
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/decision/ReportDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/decision/ReportDuty.kt
@@ -53,8 +53,7 @@
         if (owner != records.writer.instance) return
         val observed = ResidencyObserved(
             server = report.server,
-            bootNumber = report.bootNumber,
-            reportSequence = report.reportSequence,
+            number = report.number,
             appliedFence = report.appliedFence,
             held = report.held
         )
--- a/instance/src/main/kotlin/mustarddale/instance/decision/SlotDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/decision/SlotDuty.kt
@@ -49,7 +49,7 @@
         val now = clock.monotonicMillis()
         keeper = keeper.observe(state.slots, now)
         if (isLeaving || state.revision == 0L) return
-        use(unheldBefore = 0)
+        use(emptySet())
         val situation = SlotSituation(
             table = state.slots,
             limits = state.index.configuration.limits,
@@ -75,23 +75,23 @@
             leaseMillis()
         )
         keeper = result.keeper
-        use(result.unheldBefore)
+        use(result.freshSlots)
     }
 
     private fun renew() {
         val written = write(SlotsRenewed) ?: return
         keeper = keeper.renewed(store.state.slots, written.sentAtMillis, leaseMillis())
-        use(unheldBefore = 0)
+        use(emptySet())
     }
 
     private fun release(slots: Set<Int>) {
         keeper = keeper.released(slots)
-        use(unheldBefore = 0)
+        use(emptySet())
         write(SlotsReleased(slots.toList()))
     }
 
-    private fun use(unheldBefore: Int) {
-        decisions.resize(keeper.lease, unheldBefore).join()
+    private fun use(freshSlots: Set<Int>) {
+        decisions.resize(keeper.lease, freshSlots).join()
     }
 
     private fun write(record: mustarddale.control.ControlRecord): WriteOutcome.Written? {
--- a/instance/src/main/kotlin/mustarddale/instance/engine/EngineClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/engine/EngineClient.kt
@@ -5,6 +5,7 @@
 import mustarddale.answer.StreamFrame
 import mustarddale.config.BackendServer
 import mustarddale.memory.OrderKind
+import mustarddale.memory.ReportNumber
 import mustarddale.routing.LoadReport
 
 /**
@@ -30,7 +31,16 @@
 )
 
 /** What an engine said to an order. */
-public enum class OrderAnswer { ACCEPTED, REFUSED, UNKNOWN }
+public sealed interface OrderAnswer {
+    /** It has taken the order; [lastReport] is its last report before that. */
+    public data class Accepted(public val lastReport: ReportNumber) : OrderAnswer
+
+    /** It has not taken the order and will not. */
+    public data object Refused : OrderAnswer
+
+    /** It may have taken the order, or may take it later. */
+    public data class Unknown(public val reason: String) : OrderAnswer
+}
 
 /** What comes from an engine while it answers. */
 public sealed interface EngineEvent {
--- a/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpHeaders
@@ -33,6 +34,7 @@
 import mustarddale.config.BackendServer
 import mustarddale.memory.HeldArtifact
 import mustarddale.memory.OrderKind
+import mustarddale.memory.ReportNumber
 import mustarddale.routing.LoadReport
 import mustarddale.routing.Warmth
 
@@ -88,18 +90,26 @@
             OrderBody(order.kind, order.artifact, order.memoryBytes, order.fence)
         )
         val request = HttpRequest.of(HttpMethod.POST, "/v1/orders", MediaType.JSON, body)
-        val status = client(server).execute(request).aggregate().await().status()
-        when {
-            status.isSuccess -> OrderAnswer.ACCEPTED
-            status.isClientError -> OrderAnswer.REFUSED
-            else -> OrderAnswer.UNKNOWN
-        }
+        orderAnswer(client(server).execute(request).aggregate().await())
     } catch (e: CancellationException) {
         throw e
     } catch (_: UnprocessedRequestException) {
-        OrderAnswer.REFUSED
-    } catch (_: Exception) {
-        OrderAnswer.UNKNOWN
+        OrderAnswer.Refused
+    } catch (e: Exception) {
+        OrderAnswer.Unknown(e.toString())
+    }
+
+    private fun orderAnswer(response: AggregatedHttpResponse): OrderAnswer {
+        val status = response.status()
+        return when {
+            status.isSuccess -> OrderAnswer.Accepted(
+                json.decodeFromString(ReportNumber.serializer(), response.contentUtf8())
+            )
+
+            status.isClientError -> OrderAnswer.Refused
+
+            else -> OrderAnswer.Unknown(status.toString())
+        }
     }
 
     private fun stream(
@@ -194,8 +204,7 @@
 
     @Serializable
     private data class LoadBody(
-        val bootNumber: Long,
-        val reportSequence: Long,
+        val number: ReportNumber,
         val state: Warmth,
         val running: Int,
         val waiting: Int,
@@ -205,8 +214,7 @@
     ) {
         fun toReport(server: String): LoadReport = LoadReport(
             server = server,
-            bootNumber = bootNumber,
-            reportSequence = reportSequence,
+            number = number,
             warmth = state,
             running = running,
             waiting = waiting,
--- a/standin/src/main/kotlin/mustarddale/standin/EngineStandIn.kt
+++ b/standin/src/main/kotlin/mustarddale/standin/EngineStandIn.kt
@@ -111,8 +111,7 @@
     private fun report(): HttpResponse = answer(
         Report.serializer(),
         Report(
-            bootNumber = bootNumber,
-            reportSequence = reportSequence.incrementAndGet(),
+            number = Number(bootNumber, reportSequence.incrementAndGet()),
             state = if (isCold) "COLD" else "WARM",
             running = running.get().coerceAtMost(setup.batchSize),
             waiting = (running.get() - setup.batchSize).coerceAtLeast(0),
@@ -186,16 +185,21 @@
     private fun order(body: String): HttpResponse {
         if (faults.losesOrders) return plain(HttpStatus.GATEWAY_TIMEOUT)
         val order = json.decodeFromString(Order.serializer(), body)
-        return plain(memory.take(order.kind, order.artifact, order.memoryBytes, order.fence))
+        val lastReport = Number(bootNumber, reportSequence.get())
+        val isTaken = memory.take(order.kind, order.artifact, order.memoryBytes, order.fence)
+        if (!isTaken) return plain(HttpStatus.CONFLICT)
+        return answer(Number.serializer(), lastReport, HttpStatus.ACCEPTED)
     }
 
     @Serializable
     private data class Held(val name: String, val memoryBytes: Long)
 
+    @Serializable
+    private data class Number(val boot: Long, val sequence: Long)
+
     @Serializable
     private data class Report(
-        val bootNumber: Long,
-        val reportSequence: Long,
+        val number: Number,
         val state: String,
         val running: Int,
         val waiting: Int,
--- a/standin/src/main/kotlin/mustarddale/standin/internal/EngineMemory.kt
+++ b/standin/src/main/kotlin/mustarddale/standin/internal/EngineMemory.kt
@@ -1,7 +1,6 @@
 package mustarddale.standin.internal
 
 import com.linecorp.armeria.client.WebClient
-import com.linecorp.armeria.common.HttpStatus
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -29,20 +28,20 @@
     /** Artifacts that take memory, with their bytes. */
     public fun held(): Map<String, Long> = held.toMap()
 
-    /** Takes an order; the status is the answer to it. */
+    /** Takes an order; false if it refuses it for its fencing number. */
     @Synchronized
-    public fun take(kind: String, artifact: String, bytes: Long, fence: Long): HttpStatus {
-        if (setup.checksFencing && fence <= lastOrder) return HttpStatus.CONFLICT
+    public fun take(kind: String, artifact: String, bytes: Long, fence: Long): Boolean {
+        if (setup.checksFencing && fence <= lastOrder) return false
         lastOrder = fence
         if (kind == "UNLOAD") {
             ready.remove(artifact)
             held.remove(artifact)
-            return HttpStatus.ACCEPTED
+            return true
         }
         held[artifact] = bytes
         mostHeldBytes = maxOf(mostHeldBytes, held.values.sum())
         loadSoon(artifact)
-        return HttpStatus.ACCEPTED
+        return true
     }
 
     private fun loadSoon(artifact: String) {
