Test the whole path under faults: keys, cut and silent streams, bookings, log outage, leaving

Cause: the shell around the decisions had no failure tests. Found and mended: errors that the HTTP library renders itself (a 10 MB body) had no error kind; the stand-ins answered 500 where an answer should be lost and cut every resume too; a JVM ended with 143 on SIGTERM, now 0 after a graceful stop.

--- a/cli/src/main/kotlin/mustarddale/cli/ExitCode.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/ExitCode.kt
@@ -18,6 +18,15 @@
     USAGE(127)
 }
 
+/** On SIGTERM or SIGINT, runs [stop] to its end and exits as [ExitCode.DONE]. */
+internal fun endOnSignal(stop: () -> Unit) {
+    val end = {
+        stop()
+        Runtime.getRuntime().halt(ExitCode.DONE.code)
+    }
+    Runtime.getRuntime().addShutdownHook(Thread(end, "shutdown"))
+}
+
 /** Prints [message] as an error and ends with [code]. */
 internal fun fail(message: String, code: ExitCode = ExitCode.REFUSED): Nothing {
     System.err.println("${Program.NAME}: $message")
--- a/cli/src/main/kotlin/mustarddale/cli/ServeCommand.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/ServeCommand.kt
@@ -23,8 +23,9 @@
             is Outcome.Failure -> fail(settings, outcome.refusal)
         }
         val instance = Instance(checked)
-        Runtime.getRuntime().addShutdownHook(Thread(instance::leave, "shutdown"))
+        endOnSignal(instance::leave)
         instance.start()
+        instance.whenReady.thenRun { println("{\"event\":\"ready\"}") }
         CountDownLatch(1).await()
     }
 }
--- a/cli/src/main/kotlin/mustarddale/cli/StandInCommand.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/StandInCommand.kt
@@ -38,7 +38,7 @@
         }
         standIn.start(port)
         println("{\"event\":\"ready\",\"url\":\"${standIn.url}\"}")
-        Runtime.getRuntime().addShutdownHook(Thread(standIn::close, "shutdown"))
+        endOnSignal(standIn::close)
         CountDownLatch(1).await()
     }
 
--- a/cli/src/main/kotlin/mustarddale/cli/demo/DemoCommand.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/demo/DemoCommand.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import mustarddale.cli.ExitCode
+import mustarddale.cli.endOnSignal
 
 /** Runs the embedded default. */
 @OptIn(ExperimentalCli::class)
@@ -30,7 +31,7 @@
         }
         val ready = Ready("ready", stack.callerUrls, stack.operatorUrl, TotaraLine.keys)
         println(Json.encodeToString(Ready.serializer(), ready))
-        Runtime.getRuntime().addShutdownHook(Thread(stack::close, "shutdown"))
+        endOnSignal(stack::close)
         CountDownLatch(1).await()
     }
 
--- a/cli/src/main/kotlin/mustarddale/cli/demo/DemoStack.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/demo/DemoStack.kt
@@ -3,6 +3,7 @@
  */
 package mustarddale.cli.demo
 
+import java.util.concurrent.TimeUnit
 import mustarddale.config.ConfigurationChange
 import mustarddale.control.ControlRecord.ChangeProposed
 import mustarddale.control.ControlState
@@ -43,11 +44,7 @@
         submitSample()
         instances = List(INSTANCES) { Instance(settings(it)) }
         instances.forEach { it.start() }
-        val giveUpMillis = System.currentTimeMillis() + READY_TIMEOUT_MILLIS
-        while (instances.any { !it.isReady }) {
-            check(System.currentTimeMillis() < giveUpMillis) { "the instances are not ready" }
-            Thread.sleep(POLL_MILLIS)
-        }
+        instances.forEach { it.whenReady.get(READY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) }
     }
 
     /** Stops the instances as planned, then the stand-ins. */
@@ -99,6 +96,5 @@
         private const val TOKEN_MILLIS = 5L
         private const val LAME_DUCK_MILLIS = 200L
         private const val READY_TIMEOUT_MILLIS = 30_000L
-        private const val POLL_MILLIS = 20L
     }
 }
--- /dev/null
+++ b/cli/src/test/kotlin/mustarddale/cli/ChangeTest.kt
@@ -0,0 +1,71 @@
+package mustarddale.cli
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import mustarddale.config.ApiKey
+import mustarddale.config.Availability
+import mustarddale.config.ConfigurationChange.IssueKey
+import mustarddale.config.ConfigurationChange.SetDomain
+import mustarddale.config.ConfigurationChange.WithdrawKey
+import mustarddale.key.KeyDigest
+import mustarddale.standin.EngineSetup
+import mustarddale.standin.LogFaults
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.TestInstance
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class ChangeTest {
+    private val stack = TestStack(instanceCount = 3) {
+        EngineSetup(TestStack.MEMORY, preloaded = mapOf("m1" to 40L), tokenMillis = 5)
+    }
+
+    @BeforeAll
+    fun start() {
+        stack.start()
+    }
+
+    @AfterAll
+    fun stop() = stack.close()
+
+    private fun statusWith(key: String, instance: Int): Int =
+        stack.send(instance, "/v1/chat/completions", stack.chatBody("hi"), key = key)
+            .join()
+            .status()
+            .code()
+
+    @Test
+    fun `a key is issued and withdrawn everywhere, also where the log cannot be read`() {
+        stack.fronts[2].faults = LogFaults(isDown = true)
+        val digest = KeyDigest.of("new-key")
+        stack.operator(0).change(IssueKey("yard", ApiKey("new", digest)))
+        TestStack.within4Seconds("the key works") {
+            (0..2).all { statusWith("new-key", it) == 200 }
+        }
+        stack.operator(1).change(WithdrawKey(digest))
+        TestStack.within4Seconds("the key is refused") {
+            (0..2).all { statusWith("new-key", it) == 401 }
+        }
+        stack.fronts[2].faults = LogFaults()
+    }
+
+    @Test
+    fun `a domain that is out gets no new work and streams there end whole`() {
+        val streams = (0 until 8).map {
+            stack.send(0, "/v1/chat/completions", stack.chatBody("s$it", isStreamed = true))
+        }
+        stack.operator(0).change(SetDomain("north", Availability.OUT))
+        TestStack.within4Seconds("all know") {
+            (0..2).all { "\"revision\":${revision(0)}" in stack.operator(it).read("/status") }
+        }
+        val before = stack.engines[0].calls.calls.size
+        repeat(20) { assertEquals(200, stack.chat(it % 3, "after $it").status().code()) }
+        assertEquals(before, stack.engines[0].calls.calls.size)
+        streams.forEach { assertTrue(it.join().contentUtf8().trimEnd().endsWith("[DONE]")) }
+        stack.operator(1).change(SetDomain("north", Availability.IN))
+    }
+
+    private fun revision(instance: Int): String =
+        Regex("\"revision\":(\\d+)").find(stack.operator(instance).read("/status"))!!.groupValues[1]
+}
--- /dev/null
+++ b/cli/src/test/kotlin/mustarddale/cli/LeaveTest.kt
@@ -0,0 +1,30 @@
+package mustarddale.cli
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import mustarddale.standin.EngineSetup
+
+class LeaveTest {
+    @Test
+    fun `a planned stop under load cuts no request`() {
+        val setup = EngineSetup(TestStack.MEMORY, preloaded = mapOf("m1" to 40L), tokenMillis = 20)
+        TestStack { setup }.use { stack ->
+            stack.start()
+            val calls = (0 until 24).map {
+                val body = stack.chatBody("s$it", isStreamed = it % 2 == 0)
+                stack.send(0, "/v1/chat/completions", body)
+            }
+            TestStack.within4Seconds("all calls are at the engines") {
+                stack.engines.sumOf { it.calls.calls.size } >= calls.size
+            }
+            stack.instances[0].leave()
+            calls.map { it.join() }.forEach {
+                assertEquals(200, it.status().code())
+                val text = it.contentUtf8().trimEnd()
+                assertTrue(text.endsWith("[DONE]") || "\"finish_reason\":\"stop\"" in text, text)
+            }
+            assertEquals(200, stack.chat(1).status().code())
+        }
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/Instance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/Instance.kt
@@ -93,6 +93,9 @@
     private lateinit var operatorServer: Server
     private val duties = mutableListOf<AutoCloseable>()
 
+    /** Ends when this instance has become ready for the first time. */
+    public val whenReady: CompletableFuture<Void> = CompletableFuture()
+
     /** Whether requests are served. */
     public val isReady: Boolean
         get() = phase.get() == Phase.READY && freshness().isFresh
@@ -191,6 +194,7 @@
         if (phase.get() == Phase.STARTING && knowsEnough()) {
             phase.compareAndSet(Phase.STARTING, Phase.READY)
             log.info("ready at revision {}", store.state.revision)
+            whenReady.complete(null)
         }
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/caller/CallerErrors.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/CallerErrors.kt
@@ -17,24 +17,27 @@
         cause: Throwable
     ): HttpResponse? = null
 
-    override fun onProtocolViolation(
+    override fun renderStatus(
+        context: ServiceRequestContext?,
         config: ServiceConfig,
         headers: RequestHeaders?,
         status: HttpStatus,
         description: String?,
         cause: Throwable?
-    ): AggregatedHttpResponse? = ErrorAnswer.of(refusal(status, description)).aggregate().join()
+    ): AggregatedHttpResponse = ErrorAnswer.of(refusal(status, description)).aggregate().join()
 
-    private fun refusal(status: HttpStatus, description: String?): Refusal = when (status) {
-        HttpStatus.REQUEST_ENTITY_TOO_LARGE -> Refusal(
+    private fun refusal(status: HttpStatus, description: String?): Refusal = when {
+        status == HttpStatus.REQUEST_ENTITY_TOO_LARGE -> Refusal(
             ErrorKind.BODY_TOO_LARGE,
             "the body is longer than $maxBodyBytes bytes",
             "body"
         )
 
-        else -> Refusal(
+        status.isClientError -> Refusal(
             ErrorKind.INVALID_REQUEST,
             description ?: "not a valid HTTP request: $status"
         )
+
+        else -> Refusal(ErrorKind.INTERNAL, "an error inside the instance")
     }
 }
--- a/standin/src/main/kotlin/mustarddale/standin/EngineStandIn.kt
+++ b/standin/src/main/kotlin/mustarddale/standin/EngineStandIn.kt
@@ -140,7 +140,8 @@
         )
         streams[requestId] = generated
         val fromOffset = (call["resume_offset"] as? JsonPrimitive)?.long ?: 0
-        return stream(context, generated, fromOffset.toInt())
+        val isFirst = fromOffset == 0L
+        return stream(context, generated, fromOffset.toInt(), if (isFirst) faults else NO_FAULTS)
     }
 
     private fun resumeOrCancel(context: ServiceRequestContext): HttpResponse {
@@ -151,13 +152,15 @@
             return plain(HttpStatus.OK)
         }
         val generated = streams[id] ?: return plain(HttpStatus.NOT_FOUND)
-        return stream(context, generated, context.queryParam("offset")?.toInt() ?: 0)
+        val fromOffset = context.queryParam("offset")?.toInt() ?: 0
+        return stream(context, generated, fromOffset, NO_FAULTS)
     }
 
     private fun stream(
         context: ServiceRequestContext,
         generated: GeneratedAnswer,
-        fromOffset: Int
+        fromOffset: Int,
+        faults: EngineFaults
     ): HttpResponse {
         val now = running.incrementAndGet()
         if (isCold) mostWhileCold.accumulateAndGet(now, ::maxOf)
@@ -170,12 +173,11 @@
         response.whenComplete().handle { _, _ ->
             running.decrementAndGet()
         }
-        val isFirst = fromOffset == 0
         TokenStream(
             eventLoop = context.eventLoop(),
             response = response,
             answer = generated,
-            faults = if (isFirst) faults else EngineFaults(),
+            faults = faults,
             tokenMillis = setup.tokenMillis,
             isCancelled = { generated.requestId in cancelled }
         ).start(fromOffset)
@@ -218,5 +220,6 @@
 
     private companion object {
         const val DEFAULT_TOKENS = 64
+        val NO_FAULTS = EngineFaults()
     }
 }
--- a/standin/src/main/kotlin/mustarddale/standin/LogStandIn.kt
+++ b/standin/src/main/kotlin/mustarddale/standin/LogStandIn.kt
@@ -22,11 +22,15 @@
     public val keptRecords: Int = Int.MAX_VALUE
 )
 
-/** A stand-in for the log. */
-public class LogStandIn : StandIn() {
-    private val records = ArrayDeque<LogRecord>()
-    private var nextOffset = 0L
-    private var waiters = CompletableFuture<Unit>()
+/** The records of a log, which several fronts may serve. */
+public class LogRecords {
+    internal val records = ArrayDeque<LogRecord>()
+    internal var nextOffset = 0L
+    internal var waiters = CompletableFuture<Unit>()
+}
+
+/** A stand-in for the log: a front to [content] with faults of its own. */
+public class LogStandIn(private val content: LogRecords = LogRecords()) : StandIn() {
 
     /** How it misbehaves now. */
     @Volatile
@@ -55,14 +59,14 @@
     }
 
     /** Appends [data] as a writer of its own would. */
-    public fun append(data: List<String>): Long = synchronized(records) {
-        val first = nextOffset
+    public fun append(data: List<String>): Long = synchronized(content) {
+        val first = content.nextOffset
         data.forEach {
-            records.addLast(LogRecord(nextOffset++, System.currentTimeMillis(), it))
+            content.records.addLast(LogRecord(content.nextOffset++, System.currentTimeMillis(), it))
         }
-        while (records.size > faults.keptRecords) records.removeFirst()
-        waiters.complete(Unit)
-        waiters = CompletableFuture()
+        while (content.records.size > faults.keptRecords) content.records.removeFirst()
+        content.waiters.complete(Unit)
+        content.waiters = CompletableFuture()
         first
     }
 
@@ -76,9 +80,9 @@
     private fun read(context: ServiceRequestContext): HttpResponse {
         val from = context.queryParam("from")?.toLong() ?: 0
         val waitMillis = context.queryParam("waitMillis")?.toLong() ?: 0
-        val waiter = synchronized(records) {
-            if (from < nextOffset || waitMillis == 0L) return page(from)
-            waiters
+        val waiter = synchronized(content) {
+            if (from < content.nextOffset || waitMillis == 0L) return page(from)
+            content.waiters
         }
         val woken = CompletableFuture<Unit>()
         waiter.thenRun { woken.complete(Unit) }
@@ -86,13 +90,13 @@
         return HttpResponse.of(woken.thenApply { if (faults.isDown) down() else page(from) })
     }
 
-    private fun page(from: Long): HttpResponse = synchronized(records) {
-        val first = records.firstOrNull()?.offset ?: nextOffset
+    private fun page(from: Long): HttpResponse = synchronized(content) {
+        val first = content.records.firstOrNull()?.offset ?: content.nextOffset
         if (from < first) {
             return answer(AgedOut.serializer(), AgedOut(first), HttpStatus.GONE)
         }
-        val page = records.drop((from - first).toInt()).take(PAGE)
-        return answer(ReadResponse.serializer(), ReadResponse(page, nextOffset))
+        val page = content.records.drop((from - first).toInt()).take(PAGE)
+        return answer(ReadResponse.serializer(), ReadResponse(page, content.nextOffset))
     }
 
     private fun down(): HttpResponse = plain(HttpStatus.SERVICE_UNAVAILABLE)
--- a/standin/src/main/kotlin/mustarddale/standin/ServiceStandIn.kt
+++ b/standin/src/main/kotlin/mustarddale/standin/ServiceStandIn.kt
@@ -6,6 +6,7 @@
 
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServerBuilder
 import java.time.Duration
@@ -71,12 +72,19 @@
         runs.merge(key, 1, Int::plus)
         val booking = Booked("booking-${counter.incrementAndGet()}", key)
         val now = faults
-        if (now.losesAnswers) return HttpResponse.ofFailure(IllegalStateException("answer lost"))
+        if (now.losesAnswers) return lost()
         val answer = answer(Booked.serializer(), booking, HttpStatus.CREATED)
         if (now.answerDelayMillis == 0L) return answer
         return HttpResponse.delayed(answer, Duration.ofMillis(now.answerDelayMillis))
     }
 
+    private fun lost(): HttpResponse {
+        val response = HttpResponse.streaming()
+        response.write(ResponseHeaders.of(HttpStatus.CREATED))
+        response.abort()
+        return response
+    }
+
     private fun list(): HttpResponse = answer(Bookings.serializer(), Bookings(runs.size))
 
     @Serializable
