Kill and freeze real instance processes under load

One log, one list, two engines, one service and three instances as processes; 60 bookings with retries and 60 streams while one instance is frozen and one killed. Seen: no booking ran twice, none that was only ever refused as not run has run, each stream was whole or ended with an error, SIGTERM ends with 0.

--- /dev/null
+++ b/cli/src/test/kotlin/mustarddale/cli/ProcessTest.kt
@@ -0,0 +1,123 @@
+package mustarddale.cli
+
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.junit.jupiter.api.io.TempDir
+
+class ProcessTest {
+    private class Attempt(val key: String, val status: Int, val text: String)
+
+    private class Caller(private val ports: List<Int>) {
+        val bookings = ConcurrentLinkedQueue<Attempt>()
+        val chats = ConcurrentLinkedQueue<Attempt>()
+
+        /** Each booking is tried through the instances in turn, until one says that it ran. */
+        fun book(number: Int) {
+            val key = "booking-$number"
+            for (attempt in 0 until 6) {
+                val answer = send(ports[(number + attempt) % 3], "/bookings", "{}", key)
+                bookings.add(Attempt(key, answer.first, answer.second))
+                if (answer.first == 201) return
+            }
+        }
+
+        fun chat(number: Int) {
+            val body = """{"model":"m1","stream":true,""" +
+                """"messages":[{"role":"user","content":"chat $number"}]}"""
+            val answer = send(ports[number % 3], "/v1/chat/completions", body, null)
+            chats.add(Attempt("chat-$number", answer.first, answer.second))
+        }
+
+        private fun send(port: Int, path: String, body: String, key: String?): Pair<Int, String> {
+            val headers = RequestHeaders.builder(HttpMethod.POST, path)
+                .contentType(MediaType.JSON)
+                .add("authorization", "Bearer ${TestStack.KEY}")
+            if (key != null) headers.add("idempotency-key", key)
+            val client = WebClient.builder("http://127.0.0.1:$port")
+                .responseTimeoutMillis(15_000)
+                .build()
+            val request = HttpRequest.of(headers.build(), HttpData.ofUtf8(body))
+            return client.execute(request).aggregate()
+                .handle { answer, failure ->
+                    if (failure != null) 0 to "" else answer.status().code() to answer.contentUtf8()
+                }
+                .join()
+        }
+    }
+
+    @Test
+    fun `kills and freezes under load double no booking and cut no answer unsaid`(
+        @TempDir directory: Path
+    ) {
+        ProcessStack(directory).use { stack ->
+            stack.start(TestStack.configuration())
+            val caller = Caller(stack.callerPorts)
+            val load = (0 until 60).map { number ->
+                CompletableFuture.runAsync {
+                    caller.book(number)
+                    caller.chat(number)
+                }
+            }
+            load[5].join()
+            stack.instances[1].freeze()
+            load[15].join()
+            stack.instances[2].kill()
+            load[25].join()
+            stack.instances[1].thaw()
+            load.forEach { it.join() }
+            assertTrue(stack.instances[0].isAlive && stack.instances[1].isAlive)
+            checkBookings(caller, runs(stack.servicePort))
+            checkChats(caller)
+            assertEquals(0, stack.instances[0].terminate())
+            assertEquals(0, stack.instances[1].terminate())
+        }
+    }
+
+    private fun checkBookings(caller: Caller, runs: Map<String, Int>) {
+        assertTrue(runs.values.all { it == 1 }, "run twice: ${runs.filterValues { it > 1 }}")
+        val byKey = caller.bookings.groupBy { it.key }
+        assertTrue(byKey.size == 60)
+        byKey.forEach { (key, attempts) ->
+            if (attempts.any { it.status == 201 }) assertEquals(1, runs[key], key)
+            val isSaidNotRun = attempts.all { "\"executed\":\"no\"" in it.text }
+            if (isSaidNotRun) assertEquals(null, runs[key], key)
+        }
+        assertTrue(byKey.values.count { row -> row.any { it.status == 201 } } >= 30)
+    }
+
+    private fun checkChats(caller: Caller) {
+        caller.chats.filter { it.status == 200 }.forEach {
+            val isWhole = it.text.trimEnd().endsWith("data: [DONE]")
+            assertTrue(isWhole || "\"error\"" in it.text, it.text)
+        }
+        assertTrue(caller.chats.count { it.status == 200 } >= 20)
+    }
+
+    private fun runs(servicePort: Int): Map<String, Int> {
+        val text = WebClient.of("http://127.0.0.1:$servicePort")
+            .get("/stand-in/calls")
+            .aggregate()
+            .join()
+            .contentUtf8()
+        return Json.parseToJsonElement(text).jsonArray
+            .flatMap { it.jsonObject.getValue("headers").jsonArray }
+            .map { it.jsonPrimitive.content }
+            .filter { it.startsWith("idempotency-key: ") }
+            .groupingBy { it.removePrefix("idempotency-key: ") }
+            .eachCount()
+    }
+}
--- a/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
@@ -56,7 +56,7 @@
 
     fun start(): TestStack {
         standIns.forEach { it.start() }
-        val change = ConfigurationChange.Replace(configuration())
+        val change = ConfigurationChange.Replace(configuration().copy(backendServers = servers()))
         val envelope = Envelope(WriterId("test", "0"), 1, ChangeProposed("test", 0, change))
         fronts.first().append(listOf(ControlState.encode(envelope)))
         repeat(instanceCount) { instances.add(Instance(settings(it))) }
@@ -73,7 +73,7 @@
         peerPort = 0,
         logUrl = fronts[number].url,
         instanceListUrl = list.url,
-        operators = listOf(OperatorCredential("op", KeyDigest.of("pw"))),
+        operators = OPERATORS,
         silenceMillis = 500,
         lameDuckMillis = 100,
         loadWaitMillis = 5_000
@@ -113,39 +113,47 @@
         standIns.map { it.stop() }.forEach { it.join() }
     }
 
-    private fun configuration(): Configuration = Configuration(
-        failureDomains = listOf(FailureDomain("north"), FailureDomain("south")),
-        clientAccounts = listOf(
-            ClientAccount("yard", 100_000, 400_000, listOf(ApiKey("a", KeyDigest.of(KEY))))
-        ),
-        services = listOf(
-            Service(
-                "writer",
-                models = listOf(
-                    Model("m1", 40, maxOutputTokens = 64, adapters = listOf(Adapter("m1-a", 1))),
-                    Model("m2", 40, maxOutputTokens = 64),
-                    Model("m3", 40, maxOutputTokens = 64)
-                )
-            ),
-            Service(
-                "office",
-                routes = listOf(
-                    Route("/bookings", tokensPerCall = 1),
-                    Route("/lookups", Access.OPEN, repeatable = true)
-                )
-            )
-        ),
-        backendServers = engines.mapIndexed { index, engine ->
-            val domain = if (index == 0) "north" else "south"
-            BackendServer("e$index", "writer", engine.url, domain, MEMORY, index == 0)
-        } + BackendServer("o1", "office", service.url, "north"),
-        limits = Limits(rateSlots = 12)
-    )
+    private fun servers(): List<BackendServer> = engines.mapIndexed { index, engine ->
+        val domain = if (index == 0) "north" else "south"
+        BackendServer("e$index", "writer", engine.url, domain, MEMORY, index == 0)
+    } + BackendServer("o1", "office", service.url, "north")
 
     companion object {
         const val KEY = "md-secret-of-yard"
         const val MEMORY = 100L
         private const val READY_SECONDS = 30L
+        val OPERATORS = listOf(OperatorCredential("op", KeyDigest.of("pw")))
+
+        /** A configuration without backend servers. */
+        fun configuration(): Configuration = Configuration(
+            failureDomains = listOf(FailureDomain("north"), FailureDomain("south")),
+            clientAccounts = listOf(
+                ClientAccount("yard", 100_000, 400_000, listOf(ApiKey("a", KeyDigest.of(KEY))))
+            ),
+            services = listOf(
+                Service(
+                    "writer",
+                    models = listOf(
+                        Model(
+                            "m1",
+                            40,
+                            maxOutputTokens = 64,
+                            adapters = listOf(Adapter("m1-a", 1))
+                        ),
+                        Model("m2", 40, maxOutputTokens = 64),
+                        Model("m3", 40, maxOutputTokens = 64)
+                    )
+                ),
+                Service(
+                    "office",
+                    routes = listOf(
+                        Route("/bookings", tokensPerCall = 1),
+                        Route("/lookups", Access.OPEN, repeatable = true)
+                    )
+                )
+            ),
+            limits = Limits(rateSlots = 12)
+        )
 
         fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
