Metrics page; instances that start while the log is down take the state from peers

Cause: an instance without slots never became ready, so none could start during an outage of the log. Seen: JoinTest, both rows (log down; first records aged out).

--- a/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
@@ -44,7 +44,7 @@
     private val instanceCount: Int = 2,
     engineSetup: (Int) -> EngineSetup = { EngineSetup(MEMORY, preloaded = mapOf("m1" to 40L)) }
 ) : AutoCloseable {
-    private val content = LogRecords()
+    val content = LogRecords()
     val fronts = List(instanceCount) { LogStandIn(content) }
     val engines = List(2) { EngineStandIn(engineSetup(it)) }
     val service = ServiceStandIn()
@@ -65,6 +65,21 @@
         return this
     }
 
+    /** Starts one more instance, which reaches the log through [front] only. */
+    fun join(front: LogStandIn): Instance {
+        front.start()
+        val late = settings(0).copy(
+            instanceId = "late",
+            callerPort = freePort(),
+            operatorPort = freePort(),
+            logUrl = front.url
+        )
+        return Instance(late).also {
+            instances.add(it)
+            it.start()
+        }
+    }
+
     fun settings(number: Int): Settings = Settings(
         instanceId = "i$number",
         failureDomain = "north",
--- a/instance/src/main/kotlin/mustarddale/instance/Instance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/Instance.kt
@@ -5,11 +5,13 @@
 package mustarddale.instance
 
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.ServiceRequestContext
 import java.net.InetSocketAddress
 import java.time.Duration
 import java.util.UUID
@@ -40,6 +42,7 @@
 import mustarddale.instance.log.HttpLogClient
 import mustarddale.instance.log.LogTail
 import mustarddale.instance.log.RecordWriter
+import mustarddale.instance.metrics.InstanceMetrics
 import mustarddale.instance.operator.InstanceStatus
 import mustarddale.instance.operator.OperatorApi
 import mustarddale.instance.operator.ServerStatus
@@ -91,11 +94,15 @@
     private lateinit var slots: SlotDuty
     private lateinit var server: Server
     private lateinit var operatorServer: Server
+    private val metrics = InstanceMetrics(::status)
     private val duties = mutableListOf<AutoCloseable>()
 
     /** Ends when this instance has become ready for the first time. */
     public val whenReady: CompletableFuture<Void> = CompletableFuture()
 
+    /** The revision that this instance knows. */
+    public val knownRevision: Long get() = store.state.revision
+
     /** Whether requests are served. */
     public val isReady: Boolean
         get() = phase.get() == Phase.READY && freshness().isFresh
@@ -168,7 +175,7 @@
             .gracefulShutdownTimeoutMillis(QUIET_MILLIS, settings.drainMillis)
             .service("/health/live", HttpService { _, _ -> text(HttpStatus.OK, "live") })
             .service("/health/ready", HttpService { _, _ -> readiness() })
-            .serviceUnder("/", callers)
+            .serviceUnder("/", callers.decorate(::counted))
             .build()
     }
 
@@ -183,10 +190,24 @@
         return Server.builder()
             .http(settings.address(settings.operatorPort))
             .maxRequestLength(OPERATOR_BODY_BYTES)
+            .service("/metrics", HttpService { _, _ -> text(HttpStatus.OK, metrics.page()) })
             .serviceUnder("/", operators)
             .build()
     }
 
+    private fun counted(
+        service: HttpService,
+        context: ServiceRequestContext,
+        request: HttpRequest
+    ): HttpResponse {
+        val startMillis = clock.monotonicMillis()
+        context.log().whenComplete().thenAccept {
+            val status = it.responseHeaders().status().code()
+            metrics.count(status, clock.monotonicMillis() - startMillis)
+        }
+        return service.serve(context, request)
+    }
+
     private fun mayServe(): Boolean = phase.get() != Phase.STARTING && freshness().isFresh
 
     private fun tick() {
@@ -200,7 +221,8 @@
 
     private fun knowsEnough(): Boolean {
         val isConfigured = store.state.revision > 0 && freshness().isFresh
-        return isConfigured && reports.hasPolled && hasSlots()
+        val isLogSilent = peerHandler.logAgeMillis() > Freshness.MAX_AGE_MILLIS
+        return isConfigured && reports.hasPolled && (hasSlots() || isLogSilent)
     }
 
     private fun hasSlots(): Boolean = decisions.state.limiter.heldSlots > 0
--- a/standin/src/main/kotlin/mustarddale/standin/LogStandIn.kt
+++ b/standin/src/main/kotlin/mustarddale/standin/LogStandIn.kt
@@ -27,6 +27,9 @@
     internal val records = ArrayDeque<LogRecord>()
     internal var nextOffset = 0L
     internal var waiters = CompletableFuture<Unit>()
+
+    /** The records that are kept now. */
+    public fun copy(): List<LogRecord> = synchronized(this) { records.toList() }
 }
 
 /** A stand-in for the log: a front to [content] with faults of its own. */
