--- a/bench/src/main/kotlin/mustarddale/bench/Main.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/Main.kt
@@ -1,6 +1,7 @@
 package mustarddale.bench
 
 import kotlin.system.exitProcess
+import mustarddale.bench.policy.PolicyReport
 
 /** Runs the report that [arguments] name and prints it as JSON lines. */
 public fun main(arguments: Array<String>) {
@@ -12,8 +13,10 @@
 
         "takeover" -> TakeoverReport().run()
 
+        "policy" -> PolicyReport().run()
+
         else -> {
-            System.err.println("usage: bench control|path|takeover")
+            System.err.println("usage: bench control|path|takeover|policy")
             exitProcess(2)
         }
     }
--- a/instance/src/main/kotlin/mustarddale/instance/Instance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/Instance.kt
@@ -305,9 +305,9 @@
     private companion object {
         const val CONNECT_TIMEOUT_MILLIS = 1_000L
         const val PING_INTERVAL_MILLIS = 5_000L
-        const val LIST_INTERVAL_MILLIS = 500L
+        const val LIST_INTERVAL_MILLIS = 2_000L
         const val OPERATOR_BODY_BYTES = 16L * 1_024 * 1_024
-        const val TICK_MILLIS = 50L
+        const val TICK_MILLIS = 100L
         const val QUIET_MILLIS = 200L
         const val DRAIN_RECORDS_MILLIS = 3_000L
         val log = LoggerFactory.getLogger(Instance::class.java)
--- a/instance/src/main/kotlin/mustarddale/instance/settings/Settings.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/settings/Settings.kt
@@ -37,7 +37,7 @@
     public val operators: List<OperatorCredential> = emptyList(),
     public val maxBodyBytes: Long = 4L * 1_024 * 1_024,
     public val maxConnections: Int = 4_096,
-    public val reportIntervalMillis: Long = 250,
+    public val reportIntervalMillis: Long = 500,
     public val peerHeartbeatMillis: Long = 500,
     public val appendTimeoutMillis: Long = 2_000,
     public val silenceMillis: Long = 5_000,
