--- a/bench/src/main/kotlin/mustarddale/bench/ControlReport.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/ControlReport.kt
@@ -70,6 +70,7 @@
             warmth = Warmth.WARM,
             running = 3,
             waiting = 0,
+            batchSlots = 32,
             ready = models,
             held = models.map { HeldArtifact(it, 1) },
             appliedFence = 0
--- a/bench/src/main/kotlin/mustarddale/bench/PathReport.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/PathReport.kt
@@ -38,7 +38,8 @@
 public class PathReport {
     private val log = LogStandIn()
     private val list = InstancesStandIn()
-    private val engine = EngineStandIn(EngineSetup(100, preloaded = mapOf("m" to 10L)))
+    private val engine =
+        EngineStandIn(EngineSetup(100, preloaded = mapOf("m" to 10L), batchSize = 256))
 
     /** Measures. */
     public fun run() {
--- a/bench/src/main/kotlin/mustarddale/bench/policy/EngineModel.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/policy/EngineModel.kt
@@ -53,6 +53,7 @@
         warmth = if (nowMillis < coldUntilMillis) Warmth.COLD else Warmth.WARM,
         running = running.size,
         waiting = waiting.size,
+        batchSlots = batchSize,
         ready = listOf("m"),
         held = emptyList(),
         appliedFence = 0
--- a/bench/src/main/kotlin/mustarddale/bench/policy/Fleet.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/policy/Fleet.kt
@@ -45,7 +45,9 @@
     /** Runs to the end. */
     public fun run(): Tally {
         engines.forEach { at(0) { report(it) } }
-        ACCOUNTS.forEachIndexed { number, account -> at(0) { arrive(number, account.name) } }
+        ACCOUNTS.forEachIndexed { number, account ->
+            at(READY_MILLIS) { arrive(number, account.name) }
+        }
         scenario.coldFromMillis?.let { from ->
             at(from) { engines[0].coldUntilMillis = from + HALF }
         }
@@ -53,11 +55,9 @@
             at(from) { configure(Availability.OUT) }
             at(from + HALF) { configure(Availability.IN) }
         }
-        while (true) {
-            val event = events.poll() ?: break
-            if (event.atMillis > END_MILLIS) break
-            nowMillis = event.atMillis
-            event.action()
+        generateSequence { events.poll() }.takeWhile { it.atMillis <= END_MILLIS }.forEach {
+            nowMillis = it.atMillis
+            it.action()
         }
         tally.mostWhileCold = engines[0].mostWhileCold
         return tally
@@ -65,7 +65,7 @@
 
     private fun arrive(number: Int, account: String) {
         val job = Job(account, nowMillis, MIN_TOKENS + random.nextInt(MORE_TOKENS))
-        offer(job, random.nextInt(INSTANCES))
+        offer(job, pickInstance())
         val isSurge = nowMillis in END_MILLIS / 3..END_MILLIS * 2 / 3
         val factor = (if (number == 0) scenario.noisyFactor else 1.0) *
             (if (isSurge) scenario.surgeFactor else 1.0)
@@ -75,6 +75,11 @@
         at(nowMillis + gap) { arrive(number, account) }
     }
 
+    private fun pickInstance(): Int {
+        val isFirst = random.nextDouble() < scenario.firstInstancePart
+        return if (isFirst) 0 else 1 + random.nextInt(INSTANCES - 1)
+    }
+
     private fun offer(job: Job, instance: Int) {
         val work = Work("s", job.account, model = "m", reservedTokens = job.outputTokens.toDouble())
         val decided = instances[instance].admit(work, nowMillis, random.nextInt(Int.MAX_VALUE))
@@ -157,6 +162,7 @@
         const val MIN_TOKENS = 20
         const val MORE_TOKENS = 100
         const val MEAN_JOB_MILLIS = 200 + (MIN_TOKENS + MORE_TOKENS / 2) * MILLIS_PER_TOKEN
+        const val READY_MILLIS = 5_000L
         const val REPORT_MILLIS = 500L
         const val END_MILLIS = 300_000L
         const val HALF = 90_000L
--- a/bench/src/main/kotlin/mustarddale/bench/policy/Scenario.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/policy/Scenario.kt
@@ -9,6 +9,7 @@
  * @property noisyFactor how many times its part the first account asks for.
  * @property coldFromMillis when the first engine turns cold, null for never.
  * @property outFromMillis when the first failure domain is taken out, null for never.
+ * @property firstInstancePart the part of requests that the balancer gives the first instance.
  * @property surgeFactor by how much demand grows in the middle third of the run.
  */
 public data class Scenario(
@@ -19,6 +20,7 @@
     public val noisyFactor: Double = 1.0,
     public val coldFromMillis: Long? = null,
     public val outFromMillis: Long? = null,
+    public val firstInstancePart: Double = 1.0 / 3,
     public val surgeFactor: Double = 1.0
 ) {
     public companion object {
@@ -29,6 +31,7 @@
             Scenario("steady"),
             Scenario("two engines at half speed", load = 0.6, slowEngines = 2),
             Scenario("reports 3 s late", reportLagMillis = 2_900),
+            Scenario("balancer prefers one instance", firstInstancePart = 0.8),
             Scenario("one account at six times its part", noisyFactor = 6.0),
             Scenario("an engine turns cold", load = 0.6, coldFromMillis = MINUTE),
             Scenario("a domain out and back", load = 0.5, outFromMillis = MINUTE),
--- a/core/src/main/kotlin/mustarddale/control/Replay.kt
+++ b/core/src/main/kotlin/mustarddale/control/Replay.kt
@@ -37,6 +37,10 @@
         return tail.fold(start) { state, record -> state.fold(record).state }
     }
 
+    /** Returns all records if they start with the log's first one and hold no checkpoint. */
+    public fun wholeLog(): List<LogRecord>? =
+        records.toList().takeIf { newest == null && startOfLog() != null }
+
     private fun takeSnapshot(snapshot: ControlSnapshot) {
         newest = snapshot
         records.removeAll { it.offset < snapshot.nextOffset }
--- a/core/src/main/kotlin/mustarddale/dispatch/Selection.kt
+++ b/core/src/main/kotlin/mustarddale/dispatch/Selection.kt
@@ -44,7 +44,8 @@
         ) {
             return dispatch.freePermits(server.name, nowMillis) >= 1
         }
-        return candidate.expectedQueue < server.maxInFlight
+        val limit = minOf(server.maxInFlight, view(server).queueLimit)
+        return candidate.expectedQueue < limit
     }
 
     private fun candidate(server: BackendServer, work: Work): Candidate {
--- a/core/src/main/kotlin/mustarddale/dispatch/ServerViews.kt
+++ b/core/src/main/kotlin/mustarddale/dispatch/ServerViews.kt
@@ -16,17 +16,13 @@
 
     /** Notes that a request was sent to [server]. */
     public fun send(server: String): ServerViews = update(server) {
-        it.copy(inFlight = it.inFlight + 1, sentSinceReport = it.sentSinceReport + 1)
+        it.copy(inFlight = it.inFlight + 1)
     }
 
     /** Notes that a request to [server] has ended. */
     public fun finish(server: String): ServerViews = update(server) {
         val inFlight = (it.inFlight - 1).coerceAtLeast(0)
-        it.copy(
-            inFlight = inFlight,
-            finishedSinceReport = it.finishedSinceReport + 1,
-            borrowedPermits = minOf(it.borrowedPermits, inFlight)
-        )
+        it.copy(inFlight = inFlight, borrowedPermits = minOf(it.borrowedPermits, inFlight))
     }
 
     /** Notes that a connection to [server] failed. */
--- a/core/src/main/kotlin/mustarddale/routing/Policies.kt
+++ b/core/src/main/kotlin/mustarddale/routing/Policies.kt
@@ -5,23 +5,25 @@
 package mustarddale.routing
 
 /**
- * Chooses the better of two random candidates by the queue that is to be expected there.
+ * Chooses the candidate with the shortest expected queue, one at random among equals.
  *
- * Choosing between two, after Mitzenmacher, "The power of two choices in randomized load
- * balancing", 2001, keeps instances that share a stale report from all choosing the same server.
+ * The expected queue starts from this instance's own requests, which differ between instances, so
+ * that instances which share a late report do not all choose the same server.
  */
 public object ShortestQueue : RoutePolicy {
-    private const val ADAPTER_LOAD_COST = 1
+    private const val ADAPTER_LOAD_COST = 1.0
 
     override fun choose(candidates: List<Candidate>, draw: Int): Candidate? {
         val resident = candidates.filter { it.hasModel }
         val warm = resident.filter { it.warmth == Warmth.WARM }
         val pool = warm.ifEmpty { resident }
-        return pickTwo(pool, draw).minByOrNull(::cost)
+        val lowest = pool.minOfOrNull(::cost) ?: return null
+        val equals = pool.filter { cost(it) == lowest }
+        return equals[Math.floorMod(draw, equals.size)]
     }
 
-    private fun cost(candidate: Candidate): Int =
-        candidate.expectedQueue + if (candidate.hasAdapter) 0 else ADAPTER_LOAD_COST
+    private fun cost(candidate: Candidate): Double =
+        candidate.expectedQueue + if (candidate.hasAdapter) 0.0 else ADAPTER_LOAD_COST
 }
 
 /** Chooses the candidates in turn. */
@@ -36,7 +38,11 @@
         candidates.minByOrNull { it.inFlight }
 }
 
-/** Chooses the one of two random candidates with the fewer requests of this instance. */
+/**
+ * Chooses the one of two random candidates with the fewer requests of this instance.
+ *
+ * After Mitzenmacher, "The power of two choices in randomized load balancing", 2001.
+ */
 public object TwoChoices : RoutePolicy {
     override fun choose(candidates: List<Candidate>, draw: Int): Candidate? =
         pickTwo(candidates, draw).minByOrNull { it.inFlight }
--- a/core/src/main/kotlin/mustarddale/routing/RoutePolicy.kt
+++ b/core/src/main/kotlin/mustarddale/routing/RoutePolicy.kt
@@ -10,8 +10,8 @@
 /**
  * A backend server as a request sees it.
  *
- * @property expectedQueue requests running and waiting there, by its last report and what this
- *   instance has sent and seen end since.
+ * @property expectedQueue requests running and waiting there: this instance's own, and those of
+ *   others by the last reports.
  * @property inFlight requests of this instance that are under way there.
  * @property hasModel whether the model of the request is resident there.
  * @property hasAdapter whether the adapter of the request is resident there.
@@ -19,7 +19,7 @@
 public data class Candidate(
     public val server: BackendServer,
     public val warmth: Warmth = Warmth.WARM,
-    public val expectedQueue: Int = 0,
+    public val expectedQueue: Double = 0.0,
     public val inFlight: Int = 0,
     public val hasModel: Boolean = true,
     public val hasAdapter: Boolean = true
--- a/core/src/test/kotlin/mustarddale/dispatch/DispatchTest.kt
+++ b/core/src/test/kotlin/mustarddale/dispatch/DispatchTest.kt
@@ -31,7 +31,14 @@
         ready: List<String> = listOf("m1"),
         running: Int = 0,
         sequence: Long = 1
-    ) = LoadReport(server, ReportNumber(1, sequence), warmth, running, 0, ready, emptyList(), 0)
+    ) = LoadReport(
+        server,
+        ReportNumber(
+            1,
+            sequence
+        ),
+        warmth, running, 0, BATCH, ready, emptyList(), 0
+    )
 
     private fun dispatch(
         vararg reports: LoadReport,
@@ -104,6 +111,18 @@
         }
     }
 
+    @Test
+    fun `no more is sent than the batch and a short queue behind it take`() {
+        var dispatch = dispatch(report("e1", running = 4))
+        val decisions = (0 until BATCH * 2).map {
+            val decided = dispatch.admit(work.copy(reservedTokens = 0.0), now, it)
+            dispatch = decided.state
+            decided.decision
+        }
+        assertEquals(BATCH + BATCH / 4 - 4, decisions.count { it is Admitted })
+        assertIs<Refused>(decisions.last())
+    }
+
     @Test
     fun `a holder frozen past its lease spends nothing when it wakes`() {
         val late = now + 60_000
@@ -147,4 +166,8 @@
         }
         assertEquals(2, inFlight)
     }
+
+    private companion object {
+        const val BATCH = 16
+    }
 }
--- a/core/src/test/kotlin/mustarddale/session/SessionTest.kt
+++ b/core/src/test/kotlin/mustarddale/session/SessionTest.kt
@@ -38,7 +38,14 @@
     }
 
     private fun report(server: String, warmth: Warmth, sequence: Long, vararg ready: String) =
-        LoadReport(server, ReportNumber(1, sequence), warmth, 0, 0, ready.toList(), emptyList(), 0)
+        LoadReport(
+            server,
+            ReportNumber(
+                1,
+                sequence
+            ),
+            warmth, 0, 0, 16, ready.toList(), emptyList(), 0
+        )
 
     private fun start() {
         one.append(Fixtures.replace())
--- a/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
@@ -208,6 +208,7 @@
         val state: Warmth,
         val running: Int,
         val waiting: Int,
+        val batchSlots: Int,
         val ready: List<String>,
         val held: List<HeldArtifact>,
         val lastOrder: Long
@@ -218,6 +219,7 @@
             warmth = state,
             running = running,
             waiting = waiting,
+            batchSlots = batchSlots,
             ready = ready,
             held = held,
             appliedFence = lastOrder
--- a/instance/src/main/kotlin/mustarddale/instance/log/LogTail.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/log/LogTail.kt
@@ -85,7 +85,8 @@
             log.error("the log has neither its first record nor a whole checkpoint")
             return false
         }
-        store.offer(state)
+        val whole = replay.wholeLog()
+        if (whole == null) store.offer(state) else store.offer(whole)
         nextOffset = state.nextOffset
         return true
     }
--- a/standin/src/main/kotlin/mustarddale/standin/EngineStandIn.kt
+++ b/standin/src/main/kotlin/mustarddale/standin/EngineStandIn.kt
@@ -115,6 +115,7 @@
             state = if (isCold) "COLD" else "WARM",
             running = running.get().coerceAtMost(setup.batchSize),
             waiting = (running.get() - setup.batchSize).coerceAtLeast(0),
+            batchSlots = setup.batchSize,
             ready = memory.ready(),
             held = memory.held().map { Held(it.key, it.value) },
             lastOrder = memory.lastOrder
@@ -205,6 +206,7 @@
         val state: String,
         val running: Int,
         val waiting: Int,
+        val batchSlots: Int,
         val ready: List<String>,
         val held: List<Held>,
         val lastOrder: Long
