Spread models over two failure domains where memory allows; unload copies first

Cause: a model with its only copy in a domain that is taken out waited for its load on the first request; and an unload could take the only copy although another model had two. Nothing is unloaded to spread, so models do not move back and forth. Tests: PlacementTest; PathTest still loads three models in room for two.

--- a/core/src/main/kotlin/mustarddale/placement/Placement.kt
+++ b/core/src/main/kotlin/mustarddale/placement/Placement.kt
@@ -1,6 +1,6 @@
 /*
  * Decides which order brings an artifact to an engine. It prefers an engine with room; else it
- * unloads what was used longest ago, but never the last copy of a model that was used of late.
+ * unloads what has another copy, and of that what was used longest ago.
  */
 package mustarddale.placement
 
@@ -38,6 +38,25 @@
         return nextUnload(engines, bytes, base)
     }
 
+    /**
+     * The next order that gives a model of [service] a copy in one more failure domain, for models
+     * with copies in fewer than [COPIES]; null if there is none or no room. Nothing is unloaded for
+     * this, so that it cannot make models move back and forth.
+     */
+    public fun nextSpread(service: String): OrderProposed? = index.models.values
+        .filter { it.service == service && it.adapter == null }
+        .map { it.model to domainsWith(service, it.model.name) }
+        .filter { (_, domains) -> domains.size < COPIES }
+        .sortedBy { (_, domains) -> domains.size }
+        .firstNotNullOfOrNull { (model, domains) ->
+            index.servers(service)
+                .filter { index.isAvailable(it) && it.failureDomain !in domains }
+                .filter { ledger.find(it.name, model.name) == null }
+                .filter { roomBytes(it) >= model.memoryBytes }
+                .maxByOrNull { roomBytes(it) }
+                ?.let { OrderProposed(it.name, OrderKind.LOAD, model.name) }
+        }
+
     private fun nextUnload(
         engines: List<BackendServer>,
         bytes: Long,
@@ -47,16 +66,23 @@
         if (possible.any(::hasUnloadUnderWay)) return null
         val victim = possible
             .flatMap { ledger.entries(it.name) }
-            .filter {
-                it.residency == Residency.RESIDENT && it.artifact != base &&
-                    it.memoryBytes > 0
-            }
-            .filterNot(::carriesAdapters)
-            .minByOrNull { lastUse.millis(it.artifact) ?: Long.MIN_VALUE }
+            .filter { it.residency == Residency.RESIDENT && it.artifact != base }
+            .filterNot { it.memoryBytes == 0L || carriesAdapters(it) }
+            .minWithOrNull(compareBy({ isOnlyCopy(it) }, { lastUse.millis(it.artifact) }))
             ?: return null
         return OrderProposed(victim.server, OrderKind.UNLOAD, victim.artifact)
     }
 
+    private fun isOnlyCopy(entry: LedgerEntry): Boolean {
+        val service = index.server(entry.server)?.service ?: return false
+        return index.servers(service).count { holds(it, entry.artifact) } < 2
+    }
+
+    private fun domainsWith(service: String, model: String): Set<String> = index.servers(service)
+        .filter { index.isAvailable(it) && isUnderWay(it, model) }
+        .map { it.failureDomain }
+        .toSet()
+
     private fun hasUnloadUnderWay(server: BackendServer): Boolean =
         ledger.entries(server.name).any { it.residency == Residency.UNLOADING }
 
@@ -74,4 +100,9 @@
 
     private fun roomBytes(server: BackendServer): Long =
         server.memoryBytes - ledger.committedBytes(server.name)
+
+    private companion object {
+        /** In how many failure domains a model has a copy where memory allows. */
+        const val COPIES = 2
+    }
 }
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/placement/PlacementTest.kt
@@ -0,0 +1,125 @@
+package mustarddale.placement
+
+import kotlin.test.assertEquals
+import mustarddale.config.Availability
+import mustarddale.control.ControlRecord
+import mustarddale.control.ControlRecord.OrderProposed
+import mustarddale.control.ControlRecord.ResidencyObserved
+import mustarddale.control.ControlState
+import mustarddale.control.FakeLog
+import mustarddale.control.Fixtures
+import mustarddale.memory.HeldArtifact
+import mustarddale.memory.OrderKind
+import mustarddale.memory.OrderKind.LOAD
+import mustarddale.memory.OrderKind.UNLOAD
+import mustarddale.memory.ReportNumber
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+
+class PlacementTest {
+    private fun holds(server: String, vararg models: String) = ResidencyObserved(
+        server,
+        ReportNumber(1, 1),
+        0,
+        models.map { HeldArtifact(it, 40) }
+    )
+
+    private fun order(kind: OrderKind, server: String, model: String) =
+        OrderProposed(server, kind, model)
+
+    private fun state(vararg records: ControlRecord, out: String? = null): ControlState {
+        val log = FakeLog()
+        val domains = Fixtures.configuration.failureDomains.map {
+            if (it.name == out) it.copy(state = Availability.OUT) else it
+        }
+        val configuration = Fixtures.configuration.copy(failureDomains = domains)
+        log.append(Fixtures.first, Fixtures.replace(configuration))
+        records.forEach { log.append(Fixtures.first, it) }
+        return log.fold()
+    }
+
+    private fun placement(state: ControlState) = Placement(state.index, state.ledger) {
+        mapOf("m1" to 10L, "m2" to 20L, "m3" to 30L)[it]
+    }
+
+    private data class Row(val name: String, val state: ControlState, val expected: OrderProposed?)
+
+    private val wanted = listOf(
+        Row(
+            "into the most room",
+            state(holds("e1", "m1"), holds("e2")),
+            order(LOAD, "e2", "m3")
+        ),
+        Row(
+            "nowhere else while a load is under way",
+            state(holds("e1", "m1"), holds("e2"), order(LOAD, "e2", "m3")),
+            null
+        ),
+        Row(
+            "not into a domain that is out",
+            state(holds("e1"), holds("e2", "m2"), out = "north"),
+            order(LOAD, "e2", "m3")
+        ),
+        Row(
+            "without room, what has another copy goes first",
+            state(holds("e1", "m1", "m2"), holds("e2", "m2")).let { full(it, "e2", "m1") },
+            order(UNLOAD, "e1", "m1")
+        ),
+        Row(
+            "one unload at a time",
+            state(
+                holds("e1", "m1", "m2"),
+                holds("e2", "m1", "m2"),
+                order(UNLOAD, "e1", "m1")
+            ),
+            null
+        )
+    )
+
+    private fun full(state: ControlState, server: String, model: String): ControlState {
+        val record = ResidencyObserved(
+            server,
+            ReportNumber(1, 2),
+            0,
+            listOf(HeldArtifact("m2", 40), HeldArtifact(model, 40))
+        )
+        return state.copy(ledger = state.ledger.observe(record, state.index))
+    }
+
+    @TestFactory
+    fun `brings a wanted model to an engine`(): List<DynamicTest> = wanted.map { row ->
+        DynamicTest.dynamicTest(row.name) {
+            assertEquals(row.expected, placement(row.state).nextOrder("writer", "m3"))
+        }
+    }
+
+    private val spread = listOf(
+        Row(
+            "a model without a copy comes first",
+            state(holds("e1", "m1", "m2"), holds("e2", "m1")),
+            order(LOAD, "e2", "m3")
+        ),
+        Row(
+            "then a second copy in another domain",
+            state(holds("e1", "m1", "m2"), holds("e2", "m3")),
+            order(LOAD, "e2", "m1")
+        ),
+        Row(
+            "nothing is unloaded for it",
+            state(holds("e1", "m1", "m2"), holds("e2", "m3", "m1")),
+            null
+        ),
+        Row(
+            "copies in a domain that is out do not count",
+            state(holds("e1", "m1", "m2"), holds("e2", "m3"), out = "north"),
+            order(LOAD, "e2", "m1")
+        )
+    )
+
+    @TestFactory
+    fun `spreads models over failure domains`(): List<DynamicTest> = spread.map { row ->
+        DynamicTest.dynamicTest(row.name) {
+            assertEquals(row.expected, placement(row.state).nextSpread("writer"))
+        }
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/Instance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/Instance.kt
@@ -80,16 +80,17 @@
         StatePeerHandler(store, decisions, clock) { tail.lastReadSentMillis }
     private val mesh =
         PeerMesh(settings.instanceId, peerHandler, settings.peerHeartbeatMillis)
+
+    @Volatile
+    private var listed: List<ListedInstance> = emptyList()
     private val placement = PlacementDuty(
         store,
         records,
         engines,
         clock,
-        settings.appendTimeoutMillis
+        settings.appendTimeoutMillis,
+        ::liveInstances
     )
-
-    @Volatile
-    private var listed: List<ListedInstance> = emptyList()
     private lateinit var reports: ReportDuty
     private lateinit var slots: SlotDuty
     private lateinit var server: Server
--- a/instance/src/main/kotlin/mustarddale/instance/decision/PlacementDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/decision/PlacementDuty.kt
@@ -11,6 +11,7 @@
 import mustarddale.control.ControlRecord.OrderProposed
 import mustarddale.control.Verdict
 import mustarddale.instance.duty.Duty
+import mustarddale.instance.duty.PeriodicDuty
 import mustarddale.instance.engine.EngineClient
 import mustarddale.instance.engine.EngineOrder
 import mustarddale.instance.engine.OrderAnswer
@@ -19,20 +20,23 @@
 import mustarddale.instance.log.WriteOutcome
 import mustarddale.memory.Artifacts
 import mustarddale.placement.Placement
+import mustarddale.routing.Rendezvous
 import mustarddale.time.Clock
 import org.slf4j.LoggerFactory
 
-/** Orders engines to load what callers want. */
+/** Orders engines to load what callers want, and spreads models over failure domains. */
 public class PlacementDuty(
     private val store: ControlStore,
     private val records: RecordWriter,
     private val engines: EngineClient,
     private val clock: Clock,
-    private val appendTimeoutMillis: Long
+    private val appendTimeoutMillis: Long,
+    private val liveInstances: () -> Set<String>
 ) : AutoCloseable {
     private val lastUse = ConcurrentHashMap<String, Long>()
     private val wanted = ConcurrentHashMap.newKeySet<Want>()
     private val duty = Duty("placement", handle = ::handle)
+    private val spreading = PeriodicDuty("spread", SPREAD_INTERVAL_MILLIS, ::spread)
 
     /** Asks for [artifact] to be resident on an engine of [service]. */
     public fun want(service: String, artifact: String) {
@@ -47,14 +51,25 @@
     }
 
     override fun close() {
+        spreading.close()
         duty.close()
     }
 
     private fun handle(want: Want) {
         wanted.remove(want)
-        val state = store.state
-        val placement = Placement(state.index, state.ledger) { lastUse[it] }
-        val order = placement.nextOrder(want.service, want.artifact) ?: return
+        placement().nextOrder(want.service, want.artifact)?.let(::propose)
+    }
+
+    private fun spread() {
+        store.state.index.configuration.services
+            .filter { Rendezvous.owner(it.name, liveInstances()) == records.writer.instance }
+            .forEach { service -> placement().nextSpread(service.name)?.let(::propose) }
+    }
+
+    private fun placement(): Placement =
+        store.state.let { state -> Placement(state.index, state.ledger) { lastUse[it] } }
+
+    private fun propose(order: OrderProposed) {
         val outcome = records.append(order, appendTimeoutMillis).join()
         if (outcome !is WriteOutcome.Written) return
         if (outcome.verdict == Verdict.Accepted) send(order, outcome.offset)
@@ -80,6 +95,7 @@
     private data class Want(val service: String, val artifact: String)
 
     private companion object {
+        const val SPREAD_INTERVAL_MILLIS = 1_000L
         val log = LoggerFactory.getLogger(PlacementDuty::class.java)
     }
 }
