--- a/cli/src/main/kotlin/mustarddale/cli/ConfigCommand.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/ConfigCommand.kt
@@ -9,6 +9,7 @@
 import mustarddale.config.ConfigurationFormat
 import mustarddale.control.AuditEntry
 import mustarddale.error.Outcome
+import mustarddale.instance.operator.CheckAnswer
 import mustarddale.instance.operator.ConfigurationAnswer
 
 /** Shows and replaces the configuration, and shows its history. */
@@ -16,7 +17,7 @@
 internal class ConfigCommand :
     Subcommand("config", "Show, replace or trace the configuration. Example: config get") {
     init {
-        subcommands(Get(), Submit(), History())
+        subcommands(Get(), Diff(), Submit(), History())
     }
 
     override fun execute() = Unit
@@ -32,6 +33,24 @@
         }
     }
 
+    private class Diff :
+        OperatorCommand(
+            "diff",
+            "Show what a document would change. Example: config diff new.json"
+        ) {
+        private val file by argument(ArgType.String, description = "The document (JSON)")
+
+        override fun execute() {
+            val answer = ConfigurationFormat.json.decodeFromString(
+                CheckAnswer.serializer(),
+                client.check(readFile(file))
+            )
+            answer.difference.forEach(::println)
+            val faults = answer.faults.map { "${it.field}: ${it.message}" }
+            if (faults.isNotEmpty()) fail("$file: ${faults.joinToString("; ")}")
+        }
+    }
+
     private class Submit :
         OperatorCommand(
             "submit",
--- a/cli/src/main/kotlin/mustarddale/cli/OperatorClient.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/OperatorClient.kt
@@ -35,8 +35,15 @@
             ChangeRequest.serializer(),
             ChangeRequest(change, baseRevision)
         )
-        val path = "${OperatorApi.PREFIX}/changes"
-        val request = HttpRequest.of(HttpMethod.POST, path, MediaType.JSON, body)
+        return post("/changes", body)
+    }
+
+    /** Asks what [document] would change. */
+    fun check(document: String): String = post("/check", document)
+
+    private fun post(path: String, body: String): String {
+        val whole = OperatorApi.PREFIX + path
+        val request = HttpRequest.of(HttpMethod.POST, whole, MediaType.JSON, body)
         return answer { client.execute(request).aggregate().join() }
     }
 
--- a/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
@@ -52,7 +52,7 @@
     private val standIns = fronts + engines + service + list
     val instances = mutableListOf<Instance>()
     val callerPorts = List(instanceCount) { freePort() }
-    private val operatorPorts = List(instanceCount) { freePort() }
+    val operatorPorts = List(instanceCount) { freePort() }
 
     fun start(): TestStack {
         standIns.forEach { it.start() }
--- a/core/src/main/kotlin/mustarddale/config/ConfigurationCheck.kt
+++ b/core/src/main/kotlin/mustarddale/config/ConfigurationCheck.kt
@@ -4,7 +4,10 @@
  */
 package mustarddale.config
 
+import kotlinx.serialization.Serializable
+
 /** A fault in a document: the [field] by its path, and what is wrong with it. */
+@Serializable
 public data class Fault(public val field: String, public val message: String)
 
 /** Checks a whole configuration. */
--- a/instance/src/main/kotlin/mustarddale/instance/operator/OperatorApi.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/operator/OperatorApi.kt
@@ -6,6 +6,7 @@
 package mustarddale.instance.operator
 
 import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
@@ -22,6 +23,9 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
+import mustarddale.config.Configuration
+import mustarddale.config.ConfigurationCheck
+import mustarddale.config.ConfigurationDifference
 import mustarddale.config.ConfigurationFormat
 import mustarddale.control.AuditEntry
 import mustarddale.control.ControlRecord.ChangeProposed
@@ -35,7 +39,7 @@
 import mustarddale.instance.settings.OperatorCredential
 import mustarddale.key.KeyDigest
 
-/** Serves `/operator/v1`. */
+/** Serves `/operator/v1` and, under `/`, the console. */
 public class OperatorApi(
     private val store: ControlStore,
     private val records: RecordWriter,
@@ -51,22 +55,33 @@
         return HttpResponse.of(request.aggregate().thenCompose { answer(context, it, operator) })
     }
 
+    /** A page of another site can make a browser post text, but not JSON. */
     private fun answer(
         context: ServiceRequestContext,
         request: AggregatedHttpRequest,
         operator: String
     ): CompletableFuture<HttpResponse> {
+        if (context.path() == "/") return done(console())
+        if (request.method() == HttpMethod.POST && request.contentType()?.isJson != true) {
+            return done(
+                refused(ErrorKind.INVALID_REQUEST, "content-type: must be application/json")
+            )
+        }
         val path = context.path().removePrefix(PREFIX)
         val isGet = request.method() == HttpMethod.GET
         return when {
             path == "/configuration" && isGet -> done(configuration())
             path == "/audit" && isGet -> done(audit())
             path == "/status" && isGet -> done(json(InstanceStatus.serializer(), status()))
+            path == "/check" && request.method() == HttpMethod.POST -> done(check(request))
             path == "/changes" && request.method() == HttpMethod.POST -> change(request, operator)
             else -> done(refused(ErrorKind.ROUTE_UNKNOWN, "there is no ${context.path()}"))
         }
     }
 
+    private fun console(): HttpResponse =
+        HttpResponse.of(HttpStatus.OK, MediaType.HTML_UTF_8, HttpData.wrap(CONSOLE))
+
     private fun configuration(): HttpResponse {
         val state = store.state
         val body = ConfigurationAnswer(state.revision, state.index.configuration)
@@ -76,6 +91,22 @@
     private fun audit(): HttpResponse =
         json(ListSerializer(AuditEntry.serializer()), store.state.audit)
 
+    private fun check(request: AggregatedHttpRequest): HttpResponse {
+        val document = try {
+            json.decodeFromString(Configuration.serializer(), request.contentUtf8())
+        } catch (e: SerializationException) {
+            return refused(ErrorKind.INVALID_REQUEST, firstLine(e))
+        } catch (e: IllegalArgumentException) {
+            return refused(ErrorKind.INVALID_REQUEST, firstLine(e))
+        }
+        val before = store.state.index.configuration
+        val answer = CheckAnswer(
+            faults = ConfigurationCheck.faults(document),
+            difference = ConfigurationDifference.lines(before, document)
+        )
+        return json(CheckAnswer.serializer(), answer)
+    }
+
     private fun change(
         request: AggregatedHttpRequest,
         operator: String
@@ -144,5 +175,7 @@
         /** The path prefix of all calls. */
         public const val PREFIX: String = "/operator/v1"
         private const val CHANGE_TIMEOUT_MILLIS = 5_000L
+        private val CONSOLE: ByteArray =
+            checkNotNull(OperatorApi::class.java.getResourceAsStream("/console.html")).readBytes()
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/operator/OperatorMessages.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/operator/OperatorMessages.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.Serializable
 import mustarddale.config.Configuration
 import mustarddale.config.ConfigurationChange
+import mustarddale.config.Fault
 
 /** The configuration that is in force, with its revision. */
 @Serializable
@@ -18,6 +19,10 @@
     public val baseRevision: Long? = null
 )
 
+/** What is wrong with a document, and what it would change if it were submitted. */
+@Serializable
+public data class CheckAnswer(public val faults: List<Fault>, public val difference: List<String>)
+
 /** The change was accepted and made [revision]. */
 @Serializable
 public data class ChangeAnswer(public val revision: Long)
