--- a/bench/src/main/kotlin/mustarddale/bench/ControlReport.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/ControlReport.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.encodeToByteArray
 import mustarddale.config.Availability
+import mustarddale.config.Configuration
 import mustarddale.config.ConfigurationChange
 import mustarddale.config.ConfigurationFormat
 import mustarddale.control.ControlRecord
@@ -97,7 +98,7 @@
 
     private fun bytes(size: Deployment, state: ControlState) {
         val document = ConfigurationFormat.json.encodeToString(
-            mustarddale.config.Configuration.serializer(),
+            Configuration.serializer(),
             state.index.configuration
         )
         val domain = ControlState.encode(Envelope(WRITER, 1, domainChange()))
--- a/cli/src/main/kotlin/mustarddale/cli/ConfigCommand.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/ConfigCommand.kt
@@ -1,5 +1,6 @@
 package mustarddale.cli
 
+import java.time.Instant
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
@@ -78,7 +79,7 @@
         }
 
         private fun line(entry: AuditEntry): String {
-            val time = java.time.Instant.ofEpochMilli(entry.atMillis)
+            val time = Instant.ofEpochMilli(entry.atMillis)
             val end = entry.revision?.let { "revision $it" } ?: "refused: ${entry.refusedBecause}"
             return "$time ${entry.operator}: ${entry.change} -> $end"
         }
--- a/cli/src/test/kotlin/mustarddale/cli/JoinTest.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/JoinTest.kt
@@ -4,10 +4,12 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import mustarddale.control.ControlRecord
 import mustarddale.control.ControlRecord.IntentOpened
 import mustarddale.control.ControlSnapshot
 import mustarddale.control.ControlState
 import mustarddale.control.Envelope
+import mustarddale.control.Replay
 import mustarddale.control.WriterId
 import mustarddale.standin.LogFaults
 import mustarddale.standin.LogStandIn
@@ -43,11 +45,11 @@
         }
     }
 
-    private fun encode(sequence: Long, record: mustarddale.control.ControlRecord): String =
+    private fun encode(sequence: Long, record: ControlRecord): String =
         ControlState.encode(Envelope(WriterId("test", "1"), sequence, record))
 
     private fun replayOf(stack: TestStack): ControlState {
-        val replay = mustarddale.control.Replay()
+        val replay = Replay()
         stack.content.copy().forEach(replay::add)
         return requireNotNull(replay.state())
     }
--- a/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
+++ b/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
@@ -34,7 +34,6 @@
     KEY_MISSING("key_missing", 401, AUTHENTICATION, Executed.NO),
     KEY_UNKNOWN("key_unknown", 401, AUTHENTICATION, Executed.NO),
     KEY_AMBIGUOUS("key_ambiguous", 401, AUTHENTICATION, Executed.NO),
-    KEY_WITHDRAWN("key_withdrawn", 401, AUTHENTICATION, Executed.UNKNOWN),
     OPERATOR_UNKNOWN("operator_unknown", 401, AUTHENTICATION, Executed.NO),
     MODEL_UNKNOWN("model_not_found", 404, INVALID, Executed.NO),
     ROUTE_UNKNOWN("route_not_found", 404, INVALID, Executed.NO),
--- a/core/src/main/kotlin/mustarddale/memory/MemoryLedger.kt
+++ b/core/src/main/kotlin/mustarddale/memory/MemoryLedger.kt
@@ -9,7 +9,6 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
-import kotlinx.serialization.Serializable
 import mustarddale.config.BackendServer
 import mustarddale.config.ConfigurationIndex
 import mustarddale.control.ControlRecord.OrderAnswered
@@ -19,69 +18,6 @@
 import mustarddale.error.Outcome
 import mustarddale.error.failure
 
-/** What an order asks an engine to do. */
-@Serializable
-public enum class OrderKind { LOAD, UNLOAD }
-
-/** An artifact that an engine holds memory for. */
-@Serializable
-public data class HeldArtifact(public val name: String, public val memoryBytes: Long)
-
-/**
- * The place of a load report among all reports of one engine.
- *
- * @property boot grows with each start of the engine.
- * @property sequence grows with each report since that start.
- */
-@Serializable
-public data class ReportNumber(public val boot: Long, public val sequence: Long) :
-    Comparable<ReportNumber> {
-    override fun compareTo(other: ReportNumber): Int =
-        compareValuesBy(this, other, { it.boot }, { it.sequence })
-}
-
-/** The newest load report of [server] that the ledger has taken in. */
-@Serializable
-public data class ReportMark(public val server: String, public val number: ReportNumber)
-
-/** How far an artifact is in its life on one engine. */
-@Serializable
-public enum class Residency {
-    /** A load order may have been sent. */
-    LOADING,
-
-    /** A report showed that the engine holds memory for it. */
-    RESIDENT,
-
-    /** An unload order may have been sent; it gets no new requests. */
-    UNLOADING,
-
-    /** It was seen unloaded, but an earlier load order may still land. */
-    UNRESOLVED
-}
-
-/**
- * One artifact that counts on one engine.
- *
- * @property memoryBytes what it takes, as configured when it was ordered or first seen.
- * @property openLoads offsets of load orders whose message has no known outcome.
- * @property orderOffset offset of the newest order, which is its fencing number.
- * @property orderedAtMillis when the log took the newest order.
- * @property takenAfter the last report before the engine took a load order; that report and those
- *   before it do not show what became of the order.
- */
-@Serializable
-public data class LedgerEntry(
-    public val server: String,
-    public val artifact: String,
-    public val memoryBytes: Long,
-    public val residency: Residency,
-    public val openLoads: List<Long>,
-    public val orderOffset: Long,
-    public val orderedAtMillis: Long,
-    public val takenAfter: ReportNumber? = null
-)
-
 /** The key of a [LedgerEntry]. */
 public data class Place(public val server: String, public val artifact: String)
 
--- a/core/src/test/kotlin/mustarddale/idempotency/IntentTableTest.kt
+++ b/core/src/test/kotlin/mustarddale/idempotency/IntentTableTest.kt
@@ -7,6 +7,7 @@
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import mustarddale.config.Limits
+import mustarddale.control.ControlRecord
 import mustarddale.control.ControlRecord.IntentAbandoned
 import mustarddale.control.ControlRecord.IntentOpened
 import mustarddale.control.ControlRecord.IntentSettled
@@ -17,6 +18,7 @@
 import mustarddale.control.Verdict
 import mustarddale.control.WriterId
 import mustarddale.error.ErrorKind
+import mustarddale.error.Outcome
 import net.jqwik.api.AfterFailureMode
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
@@ -30,7 +32,7 @@
 
     private data class Row(
         val name: String,
-        val before: List<Pair<WriterId, mustarddale.control.ControlRecord>>,
+        val before: List<Pair<WriterId, ControlRecord>>,
         val record: IntentOpened,
         val expected: ErrorKind?
     )
@@ -99,10 +101,10 @@
         val madeAt = requireNotNull(IdempotencyKey.timeMillis(key))
         val opened = IntentOpened("i", "body", madeAt)
         val first = IntentTable().open(opened, Fixtures.first, madeAt, limits)
-        val table = assertIs<mustarddale.error.Outcome.Success<IntentTable>>(first).value
+        val table = assertIs<Outcome.Success<IntentTable>>(first).value
         val later = madeAt + 60_000 + IdempotencyKey.MAX_CLOCK_SKEW_MILLIS + 1
         val second = table.open(opened, Fixtures.second, later, limits)
-        val failure = assertIs<mustarddale.error.Outcome.Failure>(second)
+        val failure = assertIs<Outcome.Failure>(second)
         assertEquals(ErrorKind.IDEMPOTENCY_KEY_EXPIRED, failure.refusal.kind)
     }
 
@@ -112,10 +114,10 @@
         var table = IntentTable()
         repeat(2) {
             val outcome = table.open(open.copy(intentId = "i$it"), Fixtures.first, 0, limits)
-            table = assertIs<mustarddale.error.Outcome.Success<IntentTable>>(outcome).value
+            table = assertIs<Outcome.Success<IntentTable>>(outcome).value
         }
         val third = table.open(open.copy(intentId = "i3"), Fixtures.first, 0, limits)
-        val failure = assertIs<mustarddale.error.Outcome.Failure>(third)
+        val failure = assertIs<Outcome.Failure>(third)
         assertEquals(ErrorKind.IDEMPOTENCY_TABLE_FULL, failure.refusal.kind)
         assertEquals(2, table.size)
     }
--- a/core/src/test/kotlin/mustarddale/rate/SlotKeeperTest.kt
+++ b/core/src/test/kotlin/mustarddale/rate/SlotKeeperTest.kt
@@ -3,6 +3,7 @@
 import kotlin.test.assertEquals
 import mustarddale.config.Limits
 import mustarddale.control.Fixtures
+import mustarddale.control.WriterId
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 
@@ -21,7 +22,7 @@
         val expected: SlotAction?
     )
 
-    private fun held(slots: List<Int>, by: mustarddale.control.WriterId, offset: Long) =
+    private fun held(slots: List<Int>, by: WriterId, offset: Long) =
         slots.map { SlotEntry(it, by, offset) }
 
     private val rows = listOf(
--- a/instance/src/main/kotlin/mustarddale/instance/caller/AnswerRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/AnswerRelay.kt
@@ -61,9 +61,9 @@
             when (val end = attempt.end) {
                 is AttemptEnd.Done -> return Outcome.Success(Unit)
                 is AttemptEnd.Invalid -> return invalid(end)
-                is AttemptEnd.NotRun, is AttemptEnd.Cut -> Unit
+                is AttemptEnd.NotRun -> decisions.tell(newsOf(end, grant.server))
+                is AttemptEnd.Cut -> decisions.tell(News.Failed(grant.server))
             }
-            decisions.tell(News.Failed(grant.server))
             excluded = excluded + grant.server
             val retry = work.copy(reservedTokens = 0.0, excludedServers = excluded)
             grant = when (val again = admitter.admit(retry, account = null)) {
@@ -75,6 +75,10 @@
         return failure(ErrorKind.BACKEND_FAILED, "the answer was cut $MAX_ATTEMPTS times")
     }
 
+    /** An engine that refused is there, but may not be as warm or as filled as it was. */
+    private fun newsOf(end: AttemptEnd.NotRun, server: String): News =
+        if (end.wasReached) News.Chilled(server) else News.Failed(server)
+
     private suspend fun attemptAt(
         server: BackendServer?,
         grant: Grant,
@@ -84,7 +88,7 @@
     ): Attempt {
         val call = EngineCall(start.assembler.requestId, chat.body)
         try {
-            if (server == null) return Attempt(start, AttemptEnd.NotRun("it left"))
+            if (server == null) return Attempt(start, AttemptEnd.NotRun(wasReached = true))
             return attempts(server, call, start, sink)
         } catch (e: CancellationException) {
             withContext(NonCancellable) { server?.let { engines.cancel(it, call.requestId) } }
@@ -151,7 +155,7 @@
     }
 
     private fun endOf(event: EngineEvent?): AttemptEnd? = when (event) {
-        is EngineEvent.NotRun -> AttemptEnd.NotRun(event.reason)
+        is EngineEvent.NotRun -> AttemptEnd.NotRun(event.wasReached)
         is EngineEvent.Invalid -> AttemptEnd.Invalid(event.message)
         is EngineEvent.Cut -> AttemptEnd.Cut(event.reason)
         null -> AttemptEnd.Cut("silent for $silenceMillis ms")
@@ -181,7 +185,7 @@
 
     private sealed interface AttemptEnd {
         data object Done : AttemptEnd
-        data class NotRun(val reason: String) : AttemptEnd
+        data class NotRun(val wasReached: Boolean) : AttemptEnd
         data class Invalid(val message: String) : AttemptEnd
         data class Cut(val reason: String) : AttemptEnd
     }
--- a/instance/src/main/kotlin/mustarddale/instance/caller/ChatRequest.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/ChatRequest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
@@ -47,7 +48,7 @@
 
         private fun check(body: JsonObject, entry: ModelEntry): Outcome<ChatRequest> {
             val messages = body["messages"]
-            if (messages !is kotlinx.serialization.json.JsonArray || messages.isEmpty()) {
+            if (messages !is JsonArray || messages.isEmpty()) {
                 return invalid("messages: must be a list with at least one message", "messages")
             }
             if (messages.any { it !is JsonObject || "role" !in it }) {
--- a/instance/src/main/kotlin/mustarddale/instance/caller/ChatService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/ChatService.kt
@@ -10,6 +10,7 @@
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
+import java.util.UUID
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.future.await
@@ -187,7 +188,7 @@
             )
             return JsonObject(
                 mapOf(
-                    "id" to JsonPrimitive("chatcmpl-" + java.util.UUID.randomUUID()),
+                    "id" to JsonPrimitive("chatcmpl-" + UUID.randomUUID()),
                     "object" to JsonPrimitive("chat.completion"),
                     "created" to JsonPrimitive(createdMillis / MILLIS_PER_SECOND),
                     "model" to JsonPrimitive(model),
--- a/instance/src/main/kotlin/mustarddale/instance/decision/SlotDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/decision/SlotDuty.kt
@@ -4,6 +4,7 @@
  */
 package mustarddale.instance.decision
 
+import mustarddale.control.ControlRecord
 import mustarddale.control.ControlRecord.SlotsClaimed
 import mustarddale.control.ControlRecord.SlotsReleased
 import mustarddale.control.ControlRecord.SlotsRenewed
@@ -94,7 +95,7 @@
         decisions.resize(keeper.lease, freshSlots).join()
     }
 
-    private fun write(record: mustarddale.control.ControlRecord): WriteOutcome.Written? {
+    private fun write(record: ControlRecord): WriteOutcome.Written? {
         val outcome = records.append(record, appendTimeoutMillis).join()
         return (outcome as? WriteOutcome.Written)?.takeIf { it.verdict == Verdict.Accepted }
     }
--- a/instance/src/main/kotlin/mustarddale/instance/engine/EngineClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/engine/EngineClient.kt
@@ -53,8 +53,9 @@
     /** The engine takes the request although it is cold. */
     public data object Cold : EngineEvent
 
-    /** The engine was never reached, or refused before running. */
-    public data class NotRun(public val reason: String, public val isCold: Boolean) : EngineEvent
+    /** The engine was not reached, or, if it [wasReached], refused before running. */
+    public data class NotRun(public val reason: String, public val wasReached: Boolean) :
+        EngineEvent
 
     /** The engine says that the request itself is wrong. */
     public data class Invalid(public val message: String) : EngineEvent
--- a/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
@@ -6,7 +6,6 @@
 import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
-import com.linecorp.armeria.common.HttpHeaders
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
@@ -130,7 +129,7 @@
             response.abort()
             throw e
         } catch (e: UnprocessedRequestException) {
-            emit(EngineEvent.NotRun(e.toString(), isCold = false))
+            emit(EngineEvent.NotRun(e.toString(), wasReached = false))
         } catch (e: Exception) {
             emit(EngineEvent.Cut(e.toString()))
         } finally {
@@ -142,7 +141,7 @@
         val split = response.split()
         val head = split.headers().await()
         if (head.status() != HttpStatus.OK) {
-            emit(refusal(head.status(), head))
+            emit(refusal(head.status()))
             return
         }
         val isCold = head.get(STATE_HEADER) == COLD
@@ -154,19 +153,10 @@
         emit(EngineEvent.Cut("the stream ended early"))
     }
 
-    private fun refusal(status: HttpStatus, headers: HttpHeaders): EngineEvent {
-        val state = headers.get(STATE_HEADER)
-        return when {
-            status == HttpStatus.SERVICE_UNAVAILABLE || status == HttpStatus.TOO_MANY_REQUESTS ->
-                EngineEvent.NotRun("status $status", isCold = state == COLD)
-
-            status == HttpStatus.NOT_FOUND || status == HttpStatus.CONFLICT ->
-                EngineEvent.NotRun("status $status", isCold = false)
-
-            status.isClientError -> EngineEvent.Invalid("status $status")
-
-            else -> EngineEvent.Cut("status $status")
-        }
+    private fun refusal(status: HttpStatus): EngineEvent = when {
+        status in NOT_RUN -> EngineEvent.NotRun("status $status", wasReached = true)
+        status.isClientError -> EngineEvent.Invalid("status $status")
+        else -> EngineEvent.Cut("status $status")
     }
 
     private fun eventOf(data: String): EngineEvent {
@@ -237,6 +227,12 @@
     private companion object {
         const val STATE_HEADER = "x-engine-state"
         const val COLD = "cold"
+        val NOT_RUN = setOf(
+            HttpStatus.SERVICE_UNAVAILABLE,
+            HttpStatus.TOO_MANY_REQUESTS,
+            HttpStatus.NOT_FOUND,
+            HttpStatus.CONFLICT
+        )
         const val DONE = "[DONE]"
         const val LOAD_TIMEOUT_MILLIS = 1_000L
     }
--- a/instance/src/main/kotlin/mustarddale/instance/engine/ServerSentEvents.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/engine/ServerSentEvents.kt
@@ -4,9 +4,11 @@
  */
 package mustarddale.instance.engine
 
+import java.io.ByteArrayOutputStream
+
 /** Collects bytes until whole lines are there. */
 public class ServerSentEvents {
-    private val pending = java.io.ByteArrayOutputStream()
+    private val pending = ByteArrayOutputStream()
 
     /** Takes in [bytes]; returns the data of the events and, for each comment, an empty text. */
     public fun add(bytes: ByteArray): List<String> = buildList {
--- a/instance/src/main/kotlin/mustarddale/instance/log/HttpLogClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/log/HttpLogClient.kt
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.MediaType
 import java.util.concurrent.CompletionException
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import mustarddale.config.ConfigurationFormat
 import mustarddale.control.LogRecord
@@ -70,10 +71,8 @@
         }
     }
 
-    private fun <T> decode(
-        serializer: kotlinx.serialization.KSerializer<T>,
-        response: AggregatedHttpResponse
-    ): T = ConfigurationFormat.json.decodeFromString(serializer, response.contentUtf8())
+    private fun <T> decode(serializer: KSerializer<T>, response: AggregatedHttpResponse): T =
+        ConfigurationFormat.json.decodeFromString(serializer, response.contentUtf8())
 
     @Serializable
     private data class AppendRequest(val records: List<String>)
--- a/standin/src/main/kotlin/mustarddale/standin/ServiceStandIn.kt
+++ b/standin/src/main/kotlin/mustarddale/standin/ServiceStandIn.kt
@@ -6,6 +6,7 @@
 
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServerBuilder
@@ -67,7 +68,7 @@
         )
     }
 
-    private fun book(headers: com.linecorp.armeria.common.RequestHeaders): HttpResponse {
+    private fun book(headers: RequestHeaders): HttpResponse {
         val key = headers.get("idempotency-key").orEmpty()
         runs.merge(key, 1, Int::plus)
         val booking = Booked("booking-${counter.incrementAndGet()}", key)
