Never call a request not run that an engine had

Cause: when the first engine cut the stream before its first token and no other was left, the caller got the admission's refusal, which says not run (no_backend). Test that failed first: AnswerFaultTest, a request that may have run is not called not run (expected backend_failed, was no_backend). Tokens are given back only where the refusal is proved.

--- a/cli/src/test/kotlin/mustarddale/cli/AnswerFaultTest.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/AnswerFaultTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import mustarddale.standin.EngineFaults
 import mustarddale.standin.EngineSetup
@@ -54,6 +55,17 @@
         }
     }
 
+    @Test
+    fun `a request that may have run is not called not run`() {
+        val faults = EngineFaults(cutAfterTokens = 0, forgetsStreams = true)
+        stack.engines.forEach { it.faults = faults }
+        val answer = stack.chat(0, "may have run")
+        stack.engines.forEach { it.faults = EngineFaults() }
+        assertTrue(stack.engines.any { engine -> engine.calls.calls.any { "may have" in it.body } })
+        assertEquals("backend_failed", answer.kind)
+        assertFalse(answer.saysNotRun)
+    }
+
     @Test
     fun `a caller who goes away cancels the work at the engine`() {
         val before = stack.engines.sumOf { it.cancelled.size }
--- a/instance/src/main/kotlin/mustarddale/instance/caller/AnswerRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/AnswerRelay.kt
@@ -55,6 +55,7 @@
         var progress = Progress(StreamAssembler(requestId))
         var grant = first
         var excluded = emptySet<String>()
+        var mayHaveRun = false
         repeat(MAX_ATTEMPTS) {
             val attempt = attemptAt(index.server(grant.server), grant, progress, chat, sink)
             progress = attempt.progress
@@ -62,13 +63,17 @@
                 is AttemptEnd.Done -> return Outcome.Success(Unit)
                 is AttemptEnd.Invalid -> return invalid(end)
                 is AttemptEnd.NotRun -> decisions.tell(newsOf(end, grant.server))
-                is AttemptEnd.Cut -> decisions.tell(News.Failed(grant.server))
+
+                is AttemptEnd.Cut -> {
+                    mayHaveRun = true
+                    decisions.tell(News.Failed(grant.server))
+                }
             }
             excluded = excluded + grant.server
             val retry = work.copy(reservedTokens = 0.0, excludedServers = excluded)
             grant = when (val again = admitter.admit(retry, account = null)) {
                 is Outcome.Success -> again.value
-                is Outcome.Failure -> return exhausted(progress, again)
+                is Outcome.Failure -> return if (mayHaveRun) exhausted() else again
             }
         }
         admitter.finish(grant)
@@ -107,7 +112,9 @@
         val first = attempt(server, engines.answer(server, call.at(start)), start, sink)
         if (first.end !is AttemptEnd.Cut) return first
         val rest = engines.resume(server, call.at(first.progress))
-        return attempt(server, rest, first.progress, sink)
+        val second = attempt(server, rest, first.progress, sink)
+        val isForgotten = second.end is AttemptEnd.NotRun
+        return if (isForgotten) second.copy(end = first.end) else second
     }
 
     private suspend fun attempt(
@@ -168,10 +175,9 @@
         EngineEvent.Cut("the stream ended")
     }
 
-    private fun exhausted(progress: Progress, again: Outcome.Failure): Outcome.Failure {
-        if (progress.assembler.nextOffset == 0L) return again
-        return failure(ErrorKind.BACKEND_FAILED, "the answer was cut and could not be resumed")
-    }
+    /** An engine had the request, so it must not be called not run. */
+    private fun exhausted(): Outcome.Failure =
+        failure(ErrorKind.BACKEND_FAILED, "the answer was cut and could not be resumed")
 
     private fun invalid(end: AttemptEnd.Invalid): Outcome.Failure =
         failure(ErrorKind.INVALID_REQUEST, "the engine refused the request: ${end.message}")
--- a/instance/src/main/kotlin/mustarddale/instance/caller/ChatService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/ChatService.kt
@@ -23,6 +23,7 @@
 import mustarddale.config.ConfigurationIndex
 import mustarddale.dispatch.Work
 import mustarddale.error.ErrorKind
+import mustarddale.error.Executed
 import mustarddale.error.Outcome
 import mustarddale.error.Refusal
 import mustarddale.error.then
@@ -122,9 +123,9 @@
         try {
             val outcome =
                 relay.relay(admitted.chat, admitted.work, admitted.grant, index, sink)
-            val hasStarted = sink.deliveredTokens > 0
-            val isRefused = outcome is Outcome.Failure && !hasStarted
-            refund(admitted, if (isRefused) 0.0 else sink.usedTokens(admitted.chat))
+            val refusal = (outcome as? Outcome.Failure)?.refusal
+            val isNotRun = refusal?.kind?.executed == Executed.NO
+            refund(admitted, if (isNotRun) 0.0 else sink.usedTokens(admitted.chat))
             return outcome
         } catch (e: CancellationException) {
             refund(admitted, sink.usedTokens(admitted.chat))
@@ -142,13 +143,10 @@
 
     /** A sink that counts the tokens of the answer. */
     private abstract class CountingSink : AnswerSink {
-        var deliveredTokens = 0L
-            private set
         private var totalTokens: Long? = null
 
         override suspend fun take(frame: StreamFrame): String {
             val chunk = ChatChunk(frame.data)
-            deliveredTokens += frame.tokens
             chunk.totalTokens?.let { totalTokens = it }
             deliver(chunk)
             return chunk.text
--- a/standin/src/main/kotlin/mustarddale/standin/EngineStandIn.kt
+++ b/standin/src/main/kotlin/mustarddale/standin/EngineStandIn.kt
@@ -43,6 +43,7 @@
     public val cutAfterTokens: Int? = null,
     public val silentAfterTokens: Int? = null,
     public val repeatsFrames: Boolean = false,
+    public val forgetsStreams: Boolean = false,
     public val losesOrders: Boolean = false
 )
 
@@ -152,7 +153,8 @@
             streams.remove(id)
             return plain(HttpStatus.OK)
         }
-        val generated = streams[id] ?: return plain(HttpStatus.NOT_FOUND)
+        val generated = streams[id]
+        if (generated == null || faults.forgetsStreams) return plain(HttpStatus.NOT_FOUND)
         val fromOffset = context.queryParam("offset")?.toInt() ?: 0
         return stream(context, generated, fromOffset, NO_FAULTS)
     }
