--- a/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
@@ -135,6 +135,7 @@
 
     companion object {
         const val KEY = "md-secret-of-yard"
+        const val SMALL_KEY = "md-secret-of-small"
         const val MEMORY = 100L
         private const val READY_SECONDS = 30L
         val OPERATORS = listOf(OperatorCredential("op", KeyDigest.of("pw")))
@@ -143,7 +144,8 @@
         fun configuration(): Configuration = Configuration(
             failureDomains = listOf(FailureDomain("north"), FailureDomain("south")),
             clientAccounts = listOf(
-                ClientAccount("yard", 100_000, 400_000, listOf(ApiKey("a", KeyDigest.of(KEY))))
+                ClientAccount("yard", 100_000, 400_000, listOf(ApiKey("a", KeyDigest.of(KEY)))),
+                ClientAccount("small", 1_000, 2_000, listOf(ApiKey("b", KeyDigest.of(SMALL_KEY))))
             ),
             services = listOf(
                 Service(
