--- a/cli/src/main/kotlin/mustarddale/cli/ExitCode.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/ExitCode.kt
@@ -2,6 +2,7 @@
 
 import kotlin.system.exitProcess
 import mustarddale.error.Refusal
+import sun.misc.Signal
 
 /** How the program ends. */
 public enum class ExitCode(public val code: Int) {
@@ -27,6 +28,11 @@
     Runtime.getRuntime().addShutdownHook(Thread(end, "shutdown"))
 }
 
+/** Runs [reload] on SIGHUP, which would end the process otherwise. */
+internal fun reloadOnSignal(reload: () -> Unit) {
+    Signal.handle(Signal("HUP")) { reload() }
+}
+
 /** Prints [message] as an error and ends with [code]. */
 internal fun fail(message: String, code: ExitCode = ExitCode.REFUSED): Nothing {
     System.err.println("${Program.NAME}: $message")
--- a/cli/src/main/kotlin/mustarddale/cli/Main.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/Main.kt
@@ -19,6 +19,7 @@
         AvailabilityCommand.forServers(),
         StatusCommand(),
         StandInCommand(),
+        PlatformCommand(),
         DemoCommand(),
         VersionCommand()
     )
--- a/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
+++ b/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
@@ -47,6 +47,7 @@
     INTERNAL("internal", 500, SERVER, Executed.UNKNOWN),
     BACKEND_FAILED("backend_failed", 502, SERVER, Executed.UNKNOWN),
     OUTCOME_UNKNOWN("outcome_unknown", 502, SERVER, Executed.UNKNOWN),
+    TIMED_OUT("timed_out", 504, SERVER, Executed.UNKNOWN),
     NOT_READY("not_ready", 503, SERVER, Executed.NO),
     OVERLOADED("overloaded", 503, SERVER, Executed.NO),
     NO_BACKEND("no_backend", 503, SERVER, Executed.NO),
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/serving/config/ServingConfiguration.kt
@@ -0,0 +1,135 @@
+/*
+ * What operators agree on for the serving path: which request goes to which service, for whom, and
+ * within which limits. A request is handled under one version from its start to its end.
+ */
+package mustarddale.serving.config
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.ImmutableSet
+
+/** One version of the operators' configuration. */
+public data class ServingConfiguration(
+    public val version: Long,
+    public val routes: ImmutableList<ServedRoute>,
+    public val services: ImmutableMap<String, ServedService>,
+    public val accounts: ImmutableMap<String, ServedAccount>,
+    public val limits: CallerLimits
+) {
+    private val accountsByKey: Map<String, ServedAccount> =
+        accounts.values.flatMap { account -> account.keys.map { it to account } }.toMap()
+
+    /** Whether callers have to show a key at all. */
+    public val hasAccounts: Boolean get() = accounts.isNotEmpty()
+
+    /** Returns the account that holds [key], null if none does. */
+    public fun accountOf(key: String): ServedAccount? = accountsByKey[key]
+}
+
+/** How often a request may run. */
+public enum class Repeatability {
+    /** The request may run any number of times. */
+    IDEMPOTENT,
+
+    /** The request may run at most once. */
+    ONCE,
+
+    /** A stream that another backend server may continue behind the last event. */
+    RESUMABLE
+}
+
+/** A service and its part of a route's requests. */
+public data class WeightedService(public val service: String, public val weight: Int)
+
+/**
+ * A route from callers to services.
+ *
+ * @property pathPrefix begins and ends with a slash.
+ * @property isStream whether answers are events that are passed on one by one.
+ * @property timeoutMillis the longest time that a request may be kept.
+ * @property targetMillis the time within which an answer, or its first event, is on time.
+ * @property maxGapMillis the longest pause between events, null if there is no bound.
+ * @property priority 0 is the most urgent.
+ * @property maxAttempts the most backend servers that one request may run on.
+ */
+public data class ServedRoute(
+    public val name: String,
+    public val host: String,
+    public val pathPrefix: String,
+    public val services: ImmutableList<WeightedService>,
+    public val repeatability: Repeatability,
+    public val isStream: Boolean,
+    public val timeoutMillis: Long,
+    public val targetMillis: Long,
+    public val maxGapMillis: Long?,
+    public val priority: Int,
+    public val maxAttempts: Int,
+    public val isOpenToAll: Boolean
+)
+
+/**
+ * A service that backend servers provide.
+ *
+ * @property coldRequestsPerSecond what a backend server bears while it is cold, null for no bound.
+ * @property engine set if the service's backend servers are model engines.
+ */
+public data class ServedService(
+    public val name: String,
+    public val healthPath: String,
+    public val maxConnections: Int,
+    public val coldRequestsPerSecond: Double?,
+    public val engine: EngineSpec?
+)
+
+/**
+ * What each model engine of a service can hold.
+ *
+ * @property loadsPerSecond the rate of the weight store, over all engines.
+ */
+public data class EngineSpec(
+    public val slots: Int,
+    public val cacheTokens: Long,
+    public val memoryMegabytes: Double,
+    public val hostCopyMegabytes: Double,
+    public val diskCopyMegabytes: Double,
+    public val adapterPlaces: Int,
+    public val loadsPerSecond: Double,
+    public val models: ImmutableMap<String, ModelSpec>
+)
+
+/**
+ * A model, with the times that a load takes from the engine's host memory, from its disk and from
+ * the weight store.
+ */
+public data class ModelSpec(
+    public val name: String,
+    public val sizeMegabytes: Double,
+    public val hostLoadMillis: Long,
+    public val diskLoadMillis: Long,
+    public val storeLoadMillis: Long,
+    public val adapterMegabytes: Double
+)
+
+/**
+ * A client account.
+ *
+ * @property priority goes before the route's priority; null if the account has none.
+ * @property tokensPerSecond the account's rate over the fleet, null for no limit.
+ * @property tokensWithoutCount what a request counts that does not tell its tokens.
+ */
+public data class ServedAccount(
+    public val name: String,
+    public val keys: ImmutableSet<String>,
+    public val priority: Int?,
+    public val tokensPerSecond: Double?,
+    public val burstTokens: Double,
+    public val tokensWithoutCount: Double
+)
+
+/** Bounds on what a caller may send and how long it may take. */
+public data class CallerLimits(
+    public val maxHeaderBytes: Int,
+    public val maxBodyBytes: Long,
+    public val headerTimeoutMillis: Long,
+    public val idleTimeoutMillis: Long
+)
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
@@ -0,0 +1,126 @@
+/*
+ * Elects one leader among equal instances through conditional appends to one partition of the
+ * platform's log. The offset of the first record of a leadership is its term and the fencing token
+ * of its orders. The leader counts its lease from before it sent a record, the others from when they
+ * read it, so two leases never overlap; an append that lands late fails its condition.
+ */
+package mustarddale.serving.leadership
+
+/** A record of the leadership log with its [offset]. */
+public data class LoggedLeader(public val offset: Long, public val record: LeaderRecord) {
+    /** The term that the record belongs to. */
+    public val term: Long
+        get() = if (record.term == LeaderRecord.UNKNOWN_TERM) offset else record.term
+}
+
+/** The durations of the election, in milliseconds. */
+public data class ElectionTimes(
+    public val leaseMillis: Long,
+    public val renewalMillis: Long,
+    public val driftMillis: Long
+)
+
+/** What the instance has to do next. */
+public sealed interface ElectionStep {
+    /** Nothing before [untilMillis]. */
+    public data class Wait(public val untilMillis: Long) : ElectionStep
+
+    /** Read the leadership log from [offset] on. */
+    public data class Read(public val offset: Long) : ElectionStep
+
+    /** Append a record of this instance if the log still ends at [offset]; [term] as in the record. */
+    public data class Append(public val offset: Long, public val term: Long) : ElectionStep
+}
+
+/**
+ * The part of [instance], in its process [run], in the election; belongs to one thread.
+ *
+ * A record of the same instance's earlier process needs no waiting: that process is gone.
+ */
+public class LeaderElection(
+    private val instance: String,
+    private val run: String,
+    private val times: ElectionTimes
+) {
+    private var sending: Sending? = null
+    private var endOffset: Long? = null
+    private var seenAtMillis = 0L
+    private var ownLeaseUntilMillis = Long.MIN_VALUE
+    private var renewAtMillis = 0L
+    private var ownTerm: Long? = null
+    private var mustRead = true
+
+    /** The newest record that this instance knows of. */
+    public var newest: LoggedLeader? = null
+        private set
+
+    /** The term of this instance's leadership at [nowMillis], null while it does not lead. */
+    public fun ownTerm(nowMillis: Long): Long? = ownTerm?.takeIf { nowMillis < ownLeaseUntilMillis }
+
+    /** Takes in a read that found [records] and the log's [end]. */
+    public fun observe(records: List<LoggedLeader>, end: Long, nowMillis: Long) {
+        mustRead = false
+        if (end != endOffset) seenAtMillis = nowMillis
+        endOffset = end
+        val last = records.maxByOrNull { it.offset } ?: return
+        newest = last
+        val open = sending
+        if (open != null && last.record == open.record) {
+            appended(open.record, last.offset, open.atMillis)
+        } else if (last.record.run != run) {
+            ownTerm = null
+        }
+    }
+
+    /** Notes that [record] is about to be sent. */
+    public fun sending(record: LeaderRecord, nowMillis: Long) {
+        sending = Sending(record, nowMillis)
+    }
+
+    /** Takes in that the record sent at [sentMillis] stands at [offset]. */
+    public fun appended(record: LeaderRecord, offset: Long, sentMillis: Long) {
+        sending = null
+        newest = LoggedLeader(offset, record)
+        endOffset = offset + 1
+        seenAtMillis = sentMillis
+        ownTerm = LoggedLeader(offset, record).term.takeIf { !record.isResigning }
+        ownLeaseUntilMillis = sentMillis + times.leaseMillis
+        renewAtMillis = sentMillis + times.renewalMillis
+    }
+
+    /** Takes in that the log did not end where it was expected, or that the outcome is unknown. */
+    public fun appendFailed() {
+        mustRead = true
+    }
+
+    /** Gives the leadership up: another leader was heard of, or the clock cannot be trusted. */
+    public fun stepDown() {
+        ownTerm = null
+        ownLeaseUntilMillis = Long.MIN_VALUE
+        mustRead = true
+    }
+
+    /** Notes that the leader has fallen silent, so that the log has to be read. */
+    public fun suspectLeader() {
+        mustRead = true
+    }
+
+    /** Returns what to do at [nowMillis]. */
+    public fun next(nowMillis: Long): ElectionStep {
+        val end = endOffset
+        if (mustRead || end == null) return ElectionStep.Read(end ?: 0)
+        val term = ownTerm(nowMillis)
+        if (term != null) {
+            if (nowMillis < renewAtMillis) return ElectionStep.Wait(renewAtMillis)
+            return ElectionStep.Append(end, term)
+        }
+        val last = newest?.record
+        val isVacant = last == null || last.isResigning || last.instance == instance
+        val vacantAtMillis =
+            if (isVacant) seenAtMillis else seenAtMillis + times.leaseMillis + times.driftMillis
+        if (nowMillis < vacantAtMillis) return ElectionStep.Wait(vacantAtMillis)
+        return ElectionStep.Append(end, LeaderRecord.UNKNOWN_TERM)
+    }
+
+    private data class Sending(val record: LeaderRecord, val atMillis: Long)
+}
--- /dev/null
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
@@ -0,0 +1,30 @@
+package mustarddale.serving.leadership
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One record of the leadership log: its writer leads from the record on.
+ *
+ * @property run names the writer's process, which a restart replaces.
+ * @property term the offset of the first record of this leadership; negative in that record itself.
+ * @property isResigning whether the writer has stopped leading.
+ * @property sinceOrderMillis how long before this record the writer gave its last order; null if it
+ *   gave none.
+ * @property shareHolders instances that may hold shares dealt in this term or before.
+ */
+@Serializable
+public data class LeaderRecord(
+    public val instance: String,
+    public val run: String,
+    public val host: String,
+    public val port: Int,
+    public val term: Long = UNKNOWN_TERM,
+    public val isResigning: Boolean = false,
+    public val sinceOrderMillis: Long? = null,
+    public val shareHolders: List<String> = emptyList()
+) {
+    public companion object {
+        /** The term of a record whose offset is not known yet. */
+        public const val UNKNOWN_TERM: Long = -1
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/peer/PeerLink.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/peer/PeerLink.kt
@@ -25,6 +25,7 @@
     private val handler: PeerHandler,
     private val heartbeatMillis: Long
 ) {
+    private val codec = FrameCodec(PeerMessage.serializer())
     private val input = socket.openReadChannel()
     private val output = socket.openWriteChannel(autoFlush = false)
     private val writing = Mutex()
@@ -41,7 +42,7 @@
         val beats = launch { beat() }
         try {
             while (true) {
-                handle(withTimeout(heartbeatMillis * MISSED_HEARTBEATS) { PeerCodec.read(input) })
+                handle(withTimeout(heartbeatMillis * MISSED_HEARTBEATS) { codec.read(input) })
             }
         } finally {
             beats.cancel()
@@ -64,7 +65,7 @@
 
     /** Sends [message]. */
     public suspend fun send(message: PeerMessage) {
-        writing.withLock { PeerCodec.write(output, message) }
+        writing.withLock { codec.write(output, message) }
     }
 
     private suspend fun ask(timeoutMillis: Long, message: (Long) -> PeerMessage): PeerMessage? {
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
@@ -0,0 +1,99 @@
+/*
+ * Decides whether a request may be sent at all: the instance must know a configuration, the path must
+ * have a route, the key an account, and the account tokens left.
+ */
+package mustarddale.instance.serving.forward
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.RequestHeaders
+import mustarddale.error.ErrorKind
+import mustarddale.error.Outcome
+import mustarddale.error.failure
+import mustarddale.instance.serving.protocol.CallerHead
+import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.config.ServedAccount
+import mustarddale.serving.config.ServedRoute
+import mustarddale.serving.config.ServingConfiguration
+
+/** Admits requests by the beliefs in [state]. */
+public class Admission(private val state: ServingState) {
+    /** Admits the request that arrived at [arrivedAtMillis] and was read by [nowMillis]. */
+    public fun admit(
+        head: CallerHead,
+        headers: RequestHeaders,
+        body: HttpData,
+        arrivedAtMillis: Long,
+        nowMillis: Long
+    ): Outcome<Admitted> {
+        val configuration = state.configuration
+            ?: return failure(
+                ErrorKind.NOT_READY,
+                "no configuration is known yet",
+                retryAfterMillis = NOT_READY_RETRY_MILLIS
+            )
+        val route = state.routes.find(head.host, head.path)
+            ?: return failure(ErrorKind.ROUTE_UNKNOWN, "no route for ${head.host}${head.path}")
+        val account = head.key?.let { configuration.accountOf(it) }
+        if (account == null && configuration.hasAccounts && !route.isOpenToAll) {
+            val kind = if (head.key == null) ErrorKind.KEY_MISSING else ErrorKind.KEY_UNKNOWN
+            return failure(kind, "no client account holds the key")
+        }
+        val tokens = tokensOf(head, account)
+        if (account != null && !state.quota.tryTake(account, tokens, nowMillis)) {
+            return rateExceeded(account, tokens, nowMillis)
+        }
+        return Outcome.Success(
+            admitted(head, headers, body, route, account, tokens, arrivedAtMillis, configuration)
+        )
+    }
+
+    private fun tokensOf(head: CallerHead, account: ServedAccount?): Double =
+        head.tokens ?: account?.tokensWithoutCount ?: 0.0
+
+    private fun rateExceeded(
+        account: ServedAccount,
+        tokens: Double,
+        nowMillis: Long
+    ): Outcome.Failure = failure(
+        ErrorKind.RATE_EXCEEDED,
+        "account ${account.name} has a share of ${state.quota.shareOf(account.name)} here",
+        retryAfterMillis = state.quota.waitMillis(account, tokens, nowMillis)
+            .coerceAtLeast(MIN_RETRY_MILLIS)
+    )
+
+    @Suppress("LongParameterList")
+    private fun admitted(
+        head: CallerHead,
+        headers: RequestHeaders,
+        body: HttpData,
+        route: ServedRoute,
+        account: ServedAccount?,
+        tokens: Double,
+        arrivedAtMillis: Long,
+        configuration: ServingConfiguration
+    ): Admitted {
+        val service = state.routes.serviceFor(route, head.requestId)
+        check(service in configuration.services) { "route ${route.name} names no service" }
+        val deadlineAt = head.deadlineMillis?.let { arrivedAtMillis + it }
+        val timeoutAt = arrivedAtMillis + route.timeoutMillis
+        return Admitted(
+            head = head,
+            headers = headers,
+            body = body,
+            route = route,
+            service = service,
+            account = account,
+            tokens = tokens,
+            arrivedAtMillis = arrivedAtMillis,
+            giveUpAtMillis = minOf(timeoutAt, deadlineAt ?: timeoutAt)
+        )
+    }
+
+    private companion object {
+        /** An instance that starts knows its configuration within a second. */
+        const val NOT_READY_RETRY_MILLIS = 500L
+
+        /** Shorter times would come back before anything has changed. */
+        const val MIN_RETRY_MILLIS = 200L
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admitted.kt
@@ -0,0 +1,28 @@
+package mustarddale.instance.serving.forward
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.RequestHeaders
+import mustarddale.instance.serving.protocol.CallerHead
+import mustarddale.serving.config.ServedAccount
+import mustarddale.serving.config.ServedRoute
+
+/**
+ * A request with all that was decided when it was admitted, under one version of the configuration.
+ *
+ * @property giveUpAtMillis when the caller or the route has no more time for it.
+ * @property tokens what it counts against its account's rate.
+ */
+public data class Admitted(
+    public val head: CallerHead,
+    public val headers: RequestHeaders,
+    public val body: HttpData,
+    public val route: ServedRoute,
+    public val service: String,
+    public val account: ServedAccount?,
+    public val tokens: Double,
+    public val arrivedAtMillis: Long,
+    public val giveUpAtMillis: Long
+) {
+    /** The priority that the request has at backend servers. */
+    public val priority: Int get() = account?.priority ?: route.priority
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -0,0 +1,149 @@
+/*
+ * The HTTP side towards callers: reads a request whole, has it admitted and forwarded, and streams
+ * the answer. A caller that leaves cancels the work, at backend servers too.
+ */
+package mustarddale.instance.serving.forward
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpResponseWriter
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+import java.io.IOException
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.launch
+import mustarddale.error.ErrorKind
+import mustarddale.error.Outcome
+import mustarddale.error.Refusal
+import mustarddale.instance.serving.DecisionLog
+import mustarddale.instance.serving.protocol.CallerHead
+import mustarddale.instance.serving.protocol.ServingProtocol
+import mustarddale.time.Clock
+
+/** Serves callers; runs in [scope], whose dispatcher is the event loop. */
+public class CallerService(
+    private val scope: CoroutineScope,
+    private val protocol: ServingProtocol,
+    private val admission: Admission,
+    private val forwarder: Forwarder,
+    private val clock: Clock,
+    private val onRequest: (ServiceRequestContext) -> Unit
+) : HttpService {
+    /** The requests that have no final answer yet. */
+    public var openRequests: Int = 0
+        private set
+
+    override fun serve(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
+        val arrivedAtMillis = clock.monotonicMillis()
+        val response = HttpResponse.streaming()
+        openRequests++
+        onRequest(ctx)
+        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
+            handle(ctx, req, response, arrivedAtMillis)
+        }
+        response.whenComplete().whenComplete { _, _ -> job.cancel() }
+        job.invokeOnCompletion { openRequests-- }
+        return response
+    }
+
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun handle(
+        ctx: ServiceRequestContext,
+        req: HttpRequest,
+        response: HttpResponseWriter,
+        arrivedAtMillis: Long
+    ) {
+        val head = protocol.read(req.headers())
+        val writer = StreamingAnswer(response, head?.requestId)
+        try {
+            val whole = req.aggregate(ctx.eventLoop()).await()
+            if (head == null) {
+                writer.refuse(Refusal(ErrorKind.INVALID_REQUEST, "the request has no id"))
+                return
+            }
+            answer(head, req, whole.content(), writer, arrivedAtMillis)
+        } catch (e: CancellationException) {
+            if (head != null) logLeft(head, arrivedAtMillis)
+            throw e
+        } catch (e: Exception) {
+            DecisionLog.record(
+                "request_failed",
+                "request" to head?.requestId,
+                "error" to e.toString()
+            )
+            writer.breakOff(e.toString())
+        }
+    }
+
+    private suspend fun answer(
+        head: CallerHead,
+        req: HttpRequest,
+        body: HttpData,
+        writer: AnswerWriter,
+        arrivedAtMillis: Long
+    ) {
+        val nowMillis = clock.monotonicMillis()
+        when (val admitted = admission.admit(head, req.headers(), body, arrivedAtMillis, nowMillis)) {
+            is Outcome.Success -> forwarder.forward(admitted.value, writer)
+
+            is Outcome.Failure -> {
+                logRefused(head, admitted.refusal)
+                writer.refuse(admitted.refusal)
+            }
+        }
+    }
+
+    private fun logRefused(head: CallerHead, refusal: Refusal) {
+        DecisionLog.record(
+            "refused",
+            "request" to head.requestId,
+            "kind" to refusal.kind.code,
+            "reason" to refusal.message,
+            "retryAfterMillis" to refusal.retryAfterMillis
+        )
+    }
+
+    private fun logLeft(head: CallerHead, arrivedAtMillis: Long) {
+        DecisionLog.record(
+            "caller_left",
+            "request" to head.requestId,
+            "afterMillis" to clock.monotonicMillis() - arrivedAtMillis
+        )
+    }
+
+    private inner class StreamingAnswer(
+        private val response: HttpResponseWriter,
+        private val requestId: String?
+    ) : AnswerWriter {
+        override var hasBegun = false
+            private set
+
+        override fun head(headers: ResponseHeaders) {
+            hasBegun = true
+            response.tryWrite(headers)
+        }
+
+        override suspend fun part(data: HttpData) {
+            if (response.tryWrite(data)) response.whenConsumed().await()
+        }
+
+        override fun complete() {
+            response.close()
+        }
+
+        override fun breakOff(reason: String) {
+            response.close(IOException(reason))
+        }
+
+        override fun refuse(refusal: Refusal) {
+            head(protocol.refusal(refusal, requestId))
+            response.tryWrite(HttpData.ofUtf8(refusal.message))
+            response.close()
+        }
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -0,0 +1,203 @@
+/*
+ * All that one instance believes while it serves: the configuration in force, the backend servers and
+ * their loads, what the leader told about models, and the instance's shares and budgets. Everything
+ * here belongs to the event loop, so no lock is needed and a request's decisions see one state.
+ */
+package mustarddale.instance.serving.state
+
+import kotlinx.collections.immutable.persistentMapOf
+import mustarddale.instance.serving.DecisionLog
+import mustarddale.instance.serving.settings.ServingSettings
+import mustarddale.serving.backend.Backend
+import mustarddale.serving.backend.BackendChange
+import mustarddale.serving.backend.BackendDirectory
+import mustarddale.serving.backend.BackendLoad
+import mustarddale.serving.backend.Candidate
+import mustarddale.serving.backend.WantedModel
+import mustarddale.serving.config.RouteTable
+import mustarddale.serving.config.ServingConfiguration
+import mustarddale.serving.quota.AccountQuota
+import mustarddale.serving.residency.DemandSample
+import mustarddale.serving.retry.RetryBudget
+import mustarddale.time.Clock
+
+/** The beliefs of one instance with [settings]. */
+public class ServingState(public var settings: ServingSettings, private val clock: Clock) {
+    private val loads = HashMap<String, BackendLoad>()
+    private val budgets = HashMap<String, RetryBudget>()
+    private val demand = HashMap<Awaited, Wish>()
+
+    /** The backend servers. */
+    public val directory: BackendDirectory = BackendDirectory()
+
+    /** Requests that wait for a model. */
+    public val waitingRoom: WaitingRoom = WaitingRoom()
+
+    /** What client accounts may use here. */
+    public val quota: AccountQuota = AccountQuota()
+
+    /** Models by engine as the leader orders them. */
+    public val residency: ResidencyView = ResidencyView()
+
+    /** The configuration in force, null until the first is known. */
+    public var configuration: ServingConfiguration? = null
+        private set
+
+    /** The routes of [configuration]. */
+    public var routes: RouteTable = RouteTable(emptyList())
+        private set
+
+    /** Failure domains whose servers get nothing new. */
+    public var closedDomains: Set<String> = emptySet()
+        set(value) {
+            if (field != value) DecisionLog.record("domains_closed", "domains" to value)
+            field = value
+        }
+
+    /** How many instances share the fleet's limits. */
+    public var instanceCount: Int = UNKNOWN_INSTANCE_COUNT
+
+    /** Called when requests wait for something that only the leader can bring about. */
+    public var onUrgentDemand: () -> Unit = {}
+
+    /** Puts [next] in force, unless a newer version is. */
+    public fun configure(next: ServingConfiguration) {
+        val version = configuration?.version
+        if (version != null && next.version <= version) return
+        configuration = next
+        routes = RouteTable(next.routes)
+        quota.refill(next.accounts.values, clock.monotonicMillis())
+        DecisionLog.record(
+            "configuration_taken",
+            "version" to next.version,
+            "routes" to next.routes.size,
+            "before" to version
+        )
+    }
+
+    /** Takes in changes of the directory. */
+    public fun apply(changes: List<BackendChange>) {
+        val nowMillis = clock.monotonicMillis()
+        changes.forEach { apply(it, nowMillis) }
+        if (changes.isNotEmpty()) wakeWaiting()
+    }
+
+    private fun apply(change: BackendChange, nowMillis: Long) {
+        when (change) {
+            is BackendChange.Appeared -> {
+                loads[change.backend.id] = BackendLoad(change.backend.slots)
+                residency.forget(change.backend.id)
+                loadOf(change.backend).cold(change.backend.coldMillis, nowMillis)
+                logBelief("backend_appeared", change.backend)
+            }
+
+            is BackendChange.Changed -> {
+                if (change.backend.coldMillis != change.before.coldMillis) {
+                    loadOf(change.backend).cold(change.backend.coldMillis, nowMillis)
+                }
+                logBelief("backend_changed", change.backend)
+            }
+
+            is BackendChange.Gone -> {
+                loads.remove(change.backend.id)
+                residency.forget(change.backend.id)
+                logBelief("backend_gone", change.backend)
+            }
+        }
+    }
+
+    private fun logBelief(event: String, backend: Backend) {
+        DecisionLog.record(
+            event,
+            "backend" to backend.id,
+            "service" to backend.service,
+            "domain" to backend.failureDomain,
+            "draining" to backend.isDraining,
+            "coldMillis" to backend.coldMillis,
+            "models" to backend.models,
+            "born" to backend.bornMillis
+        )
+    }
+
+    /** Wakes requests whose model is there now. */
+    public fun wakeWaiting() {
+        waitingRoom.wake { awaited ->
+            candidates(awaited.service, awaited.wanted).any { it.backend.holds(awaited.wanted) }
+        }
+    }
+
+    /** Returns what is known of the load of [backend]. */
+    public fun loadOf(backend: Backend): BackendLoad =
+        loads.getOrPut(backend.id) { BackendLoad(backend.slots) }
+
+    /**
+     * Returns the servers of [service] that may get new requests; a server that has just answered
+     * that it does not hold [wanted] counts as holding nothing.
+     */
+    public fun candidates(service: String, wanted: WantedModel?): List<Candidate> {
+        val nowMillis = clock.monotonicMillis()
+        val allowance = coldAllowance(configuration?.services?.get(service)?.coldRequestsPerSecond)
+        return directory.backends
+            .filter { it.service == service && !it.isDraining && it.failureDomain !in closedDomains }
+            .map { Candidate(withModels(it, wanted, nowMillis), loadOf(it), allowance) }
+    }
+
+    private fun withModels(backend: Backend, wanted: WantedModel?, nowMillis: Long): Backend {
+        if (wanted != null && residency.isAbsent(backend.id, wanted, nowMillis)) {
+            return backend.copy(models = persistentMapOf())
+        }
+        val models = residency.modelsOf(backend.id, nowMillis) ?: return backend
+        return backend.copy(models = models)
+    }
+
+    private fun coldAllowance(perSecond: Double?): Int {
+        if (perSecond == null) return Int.MAX_VALUE
+        val bound = perSecond * settings.coldFactor + settings.coldExtraRequests
+        return (bound * COLD_SAFETY / instanceCount).toInt().coerceAtLeast(1)
+    }
+
+    /** Returns the retry budget of [service]. */
+    public fun budgetOf(service: String): RetryBudget =
+        budgets.getOrPut(service) { RetryBudget(settings.retryLimits) }
+
+    /** Counts a request for a model. */
+    public fun wanted(awaited: Awaited, outputTokens: Double) {
+        val wish = demand.getOrPut(awaited) { Wish() }
+        wish.requests++
+        wish.tokens += outputTokens
+    }
+
+    /** Returns the demand for models, by service, since the last call. */
+    public fun takeDemand(): Map<String, List<DemandSample>> {
+        val waiting = waitingRoom.counts()
+        val samples = (demand.keys + waiting.keys).groupBy({ it.service }) { awaited ->
+            val wish = demand[awaited]
+            DemandSample(
+                awaited.wanted,
+                wish?.requests ?: 0,
+                wish?.tokens ?: 0.0,
+                waiting[awaited] ?: 0
+            )
+        }
+        demand.clear()
+        return samples
+    }
+
+    /** Marks that the engine does not hold [wanted], though it was believed to. */
+    public fun notHere(backend: Backend, wanted: WantedModel) {
+        residency.absent(backend.id, wanted, clock.monotonicMillis())
+    }
+
+    private class Wish {
+        var requests = 0
+        var tokens = 0.0
+    }
+
+    private companion object {
+        /** Assumed until the leader has told the number: more than the sites' sizes of today. */
+        const val UNKNOWN_INSTANCE_COUNT = 16
+
+        /** Requests sent within one second may arrive within another. */
+        const val COLD_SAFETY = 0.8
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/WaitingRoom.kt
@@ -0,0 +1,39 @@
+package mustarddale.instance.serving.state
+
+import kotlinx.coroutines.CompletableDeferred
+import mustarddale.serving.backend.WantedModel
+
+/** A model or adapter of a service that requests wait for. */
+public data class Awaited(public val service: String, public val wanted: WantedModel)
+
+/** Requests that wait until a model is resident; belongs to one thread. */
+public class WaitingRoom {
+    private val waiters = HashMap<Awaited, MutableList<CompletableDeferred<Unit>>>()
+
+    /** Returns how many requests wait for each model. */
+    public fun counts(): Map<Awaited, Int> = waiters.mapValues { it.value.size }
+
+    /** Returns whether no more than [limit] requests wait already. */
+    public fun hasRoom(limit: Int): Boolean = waiters.values.sumOf { it.size } < limit
+
+    /** Waits until [awaited] may be there. */
+    public suspend fun await(awaited: Awaited) {
+        val waiter = CompletableDeferred<Unit>()
+        waiters.getOrPut(awaited) { mutableListOf() }.add(waiter)
+        try {
+            waiter.await()
+        } finally {
+            waiters[awaited]?.let {
+                it.remove(waiter)
+                if (it.isEmpty()) waiters.remove(awaited)
+            }
+        }
+    }
+
+    /** Wakes the requests whose model [isThere]. */
+    public fun wake(isThere: (Awaited) -> Boolean) {
+        waiters.filterKeys(isThere).values.toList().forEach { list ->
+            list.toList().forEach { it.complete(Unit) }
+        }
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/MemberDuty.kt
@@ -0,0 +1,102 @@
+/*
+ * This instance's side towards the leader: what it reports, and what it takes over. It runs on the
+ * event loop.
+ */
+package mustarddale.instance.serving.steward
+
+import mustarddale.instance.serving.DecisionLog
+import mustarddale.instance.serving.state.ServingState
+import mustarddale.time.Clock
+
+/** Reports the beliefs in [state] as [instance], in its process [run]. */
+public class MemberDuty(
+    private val state: ServingState,
+    private val instance: String,
+    private val run: String,
+    private val clock: Clock
+) {
+    private var term = NO_TERM
+    private var revision = 0L
+    private var shares = emptyMap<String, Double>()
+    private var sharesUntilMillis = Long.MIN_VALUE
+    private val sentMillis = LinkedHashMap<Long, Long>()
+    private var number = 0L
+
+    /** Returns the next report. */
+    public fun report(): StewardMessage.Report {
+        number++
+        sentMillis[number] = clock.monotonicMillis()
+        while (sentMillis.size > MAX_OPEN_REPORTS) sentMillis.remove(sentMillis.keys.first())
+        return StewardMessage.Report(
+            instance = instance,
+            run = run,
+            number = number,
+            term = term,
+            confirmedRevision = revision,
+            shares = shares,
+            wantedTokens = state.quota.takeWanted(),
+            demand = state.takeDemand().map { (service, samples) ->
+                ServiceDemand(
+                    service,
+                    samples.map {
+                        ModelSample(
+                            it.wanted.model,
+                            it.wanted.adapter,
+                            it.requests,
+                            it.tokens,
+                            it.waiting
+                        )
+                    }
+                )
+            }
+        )
+    }
+
+    /** Takes over what the leader tells; messages of an earlier leader are ignored. */
+    public fun apply(message: StewardMessage.State) {
+        if (message.term < term) return
+        val nowMillis = clock.monotonicMillis()
+        if (message.term > term) {
+            state.residency.clear()
+            term = message.term
+            revision = 0
+        }
+        state.residency.heard(nowMillis)
+        message.engines.forEach { state.residency.put(it.engine, it.models) }
+        state.instanceCount = message.instances.coerceAtLeast(1)
+        takeShares(message, nowMillis)
+        if (message.engines.isNotEmpty()) state.wakeWaiting()
+    }
+
+    private fun takeShares(message: StewardMessage.State, nowMillis: Long) {
+        val askedMillis = sentMillis[message.answers] ?: return
+        if (message.revision == 0L) return
+        sharesUntilMillis = maxOf(sharesUntilMillis, askedMillis + message.shareLeaseMillis)
+        if (message.revision == revision) return
+        revision = message.revision
+        shares = message.shares
+        setShares(nowMillis)
+    }
+
+    /** Fills the accounts' buckets and drops shares whose lease has run out. */
+    public fun tick() {
+        val nowMillis = clock.monotonicMillis()
+        if (shares.isNotEmpty() && nowMillis >= sharesUntilMillis) {
+            DecisionLog.record("shares_lapsed", "term" to term, "revision" to revision)
+            shares = emptyMap()
+        }
+        setShares(nowMillis)
+    }
+
+    private fun setShares(nowMillis: Long) {
+        val accounts = state.configuration?.accounts?.values.orEmpty()
+        state.quota.setShares(shares, accounts, nowMillis)
+    }
+
+    private companion object {
+        const val NO_TERM = -1L
+
+        /** Reports whose answers may still come. */
+        const val MAX_OPEN_REPORTS = 64
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
@@ -0,0 +1,314 @@
+/*
+ * The work of the leader: deals shares of the accounts' rates and orders models and adapters onto
+ * engines. All of it can be rebuilt from the instances' reports and the engines', so a new leader
+ * needs nothing but the last leadership record. It runs on the event loop.
+ */
+package mustarddale.instance.serving.steward
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import mustarddale.instance.serving.DecisionLog
+import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.backend.Backend
+import mustarddale.serving.backend.WantedModel
+import mustarddale.serving.config.EngineSpec
+import mustarddale.serving.leadership.LeaderRecord
+import mustarddale.serving.quota.Deal
+import mustarddale.serving.quota.ShareLedger
+import mustarddale.serving.quota.ShareReport
+import mustarddale.serving.residency.AdapterPlanner
+import mustarddale.serving.residency.DemandSample
+import mustarddale.serving.residency.EngineInventory
+import mustarddale.serving.residency.EngineOrder
+import mustarddale.serving.residency.LoadPace
+import mustarddale.serving.residency.ModelDemand
+import mustarddale.serving.residency.OrderAnswer
+import mustarddale.serving.residency.OrderKind
+import mustarddale.serving.residency.ResidencyPlanner
+import mustarddale.time.Clock
+
+/** Leads while [leadership] says so. */
+public class StewardDuty(
+    private val scope: CoroutineScope,
+    private val state: ServingState,
+    private val leadership: LeadershipDuty,
+    private val orders: EngineOrders,
+    private val holder: String,
+    private val orderLeaseMillis: Long,
+    private val clock: Clock
+) {
+    private var reign: Reign? = null
+    private var lastOrderMillis: Long? = null
+
+    init {
+        leadership.onWon = { begin(it) }
+        leadership.describe = { describe(it) }
+        leadership.onRecorded = { reign?.recordedHolders = it.shareHolders.toSet() }
+    }
+
+    /** Counts changes of engines' contents; grows with each. */
+    public val contentsVersion: Long get() = reign?.contentsVersion ?: 0
+
+    /** Called when engines' contents have changed. */
+    public var onContentsChanged: () -> Unit = {}
+
+    /** Takes in a report; returns false if this instance does not lead. */
+    public fun report(report: StewardMessage.Report): Boolean {
+        val current = current() ?: return false
+        current.report(report)
+        return true
+    }
+
+    /**
+     * Returns what to tell [instance], with what has changed at engines since [seenVersion]; null
+     * if this instance does not lead or has not heard from [instance].
+     */
+    public fun stateFor(
+        instance: String,
+        answers: Long,
+        seenVersion: Long
+    ): StewardMessage.State? = current()?.stateFor(instance, answers, seenVersion)
+
+    private fun current(): Reign? {
+        val term = leadership.ownTerm()
+        return reign?.takeIf { it.term == term }
+    }
+
+    private fun begin(won: WonTerm) {
+        reign?.job?.cancel()
+        val predecessor = won.predecessor
+        val mayOrderAtMillis = when {
+            predecessor == null || predecessor.instance == holder -> won.sinceMillis
+            predecessor.isResigning ->
+                won.sinceMillis + orderLeaseMillis - (predecessor.sinceOrderMillis ?: orderLeaseMillis)
+
+            else -> won.sinceMillis + orderLeaseMillis
+        }
+        reign = Reign(won, mayOrderAtMillis).also { it.start() }
+    }
+
+    private fun describe(record: LeaderRecord): LeaderRecord = record.copy(
+        sinceOrderMillis = lastOrderMillis?.let { clock.monotonicMillis() - it },
+        shareHolders = current()?.nextHolders()?.sorted()
+            ?: leadership.leader()?.record?.shareHolders.orEmpty()
+    )
+
+    private inner class Reign(won: WonTerm, private val mayOrderAtMillis: Long) {
+        val term = won.term
+        var recordedHolders: Set<String> = won.predecessor?.shareHolders.orEmpty().toSet()
+        var contentsVersion = 0L
+            private set
+        lateinit var job: Job
+            private set
+
+        private val ledger = ShareLedger(recordedHolders, SHARE_LEASE_MILLIS, won.sinceMillis)
+        private val services = HashMap<String, ServicePlan>()
+        private val versions = HashMap<String, Long>()
+        private val contents = HashMap<String, EngineContents>()
+        private var deals = emptyMap<String, Deal>()
+        private var dealtAtMillis = 0L
+        private var known = emptySet<String>()
+
+        fun start() {
+            job = scope.launch {
+                while (true) {
+                    if (current() === this@Reign) tick()
+                    delay(TICK_MILLIS)
+                }
+            }
+        }
+
+        fun nextHolders(): Set<String> = ledger.holders + known
+
+        fun report(report: StewardMessage.Report) {
+            val nowMillis = clock.monotonicMillis()
+            known = known + report.instance
+            ledger.report(shareReport(report), nowMillis)
+            var isUrgent = false
+            report.demand.forEach { demand ->
+                val samples = demand.models.map { it.toSample() }
+                planOf(demand.service)?.demand?.report(report.instance, samples, nowMillis)
+                isUrgent = isUrgent || samples.any { it.waiting > 0 }
+            }
+            if (isUrgent) planOrders(nowMillis)
+        }
+
+        private fun shareReport(report: StewardMessage.Report) = ShareReport(
+            report.instance,
+            report.run,
+            if (report.term == term) report.confirmedRevision else 0,
+            report.shares,
+            report.wantedTokens
+        )
+
+        fun stateFor(instance: String, answers: Long, seenVersion: Long): StewardMessage.State {
+            val deal = deals[instance]
+            return StewardMessage.State(
+                term = term,
+                answers = answers,
+                revision = deal?.revision ?: 0,
+                shares = deal?.shares.orEmpty(),
+                shareLeaseMillis = SHARE_LEASE_MILLIS,
+                instances = ledger.holders.size,
+                engines = contents.values.filter { (versions[it.engine] ?: 0) > seenVersion }
+            )
+        }
+
+        private fun tick() {
+            val nowMillis = clock.monotonicMillis()
+            if (nowMillis - dealtAtMillis >= DEAL_MILLIS) {
+                dealtAtMillis = nowMillis
+                val accounts = state.configuration?.accounts?.keys.orEmpty()
+                deals = ledger.deal(accounts, recordedHolders, nowMillis)
+            }
+            state.configuration?.services?.values?.filter { it.engine != null }?.forEach {
+                refresh(checkNotNull(planOf(it.name)))
+            }
+            planOrders(nowMillis)
+        }
+
+        private fun planOf(service: String): ServicePlan? {
+            val spec = state.configuration?.services?.get(service)?.engine ?: return null
+            val known = services[service]
+            if (known != null && known.spec == spec) return known
+            val plan = ServicePlan(service, spec, known, clock.monotonicMillis())
+            services[service] = plan
+            return plan
+        }
+
+        private fun refresh(plan: ServicePlan) {
+            val backends = state.directory.backends.filter { it.service == plan.service }
+            plan.inventories.keys.retainAll(backends.map { it.id }.toSet())
+            backends.forEach { backend ->
+                val inventory = plan.inventories[backend.id]
+                if (inventory == null || !inventory.engine.isSameRun(backend)) {
+                    plan.inventories[backend.id] = EngineInventory(backend)
+                } else {
+                    inventory.engine = backend
+                }
+            }
+            plan.inventories.values.filter { it.wantsReport(clock.monotonicMillis()) }
+                .filter { plan.asking.add(it.engine.id) }
+                .forEach { scope.launch { ask(plan, it) } }
+        }
+
+        private suspend fun ask(plan: ServicePlan, inventory: EngineInventory) {
+            val askedMillis = clock.monotonicMillis()
+            val report = orders.report(inventory.engine)
+            plan.asking.remove(inventory.engine.id)
+            if (report == null) {
+                inventory.unanswered(clock.monotonicMillis())
+                return
+            }
+            inventory.report(report, askedMillis, clock.monotonicMillis())
+            publish(inventory)
+        }
+
+        private fun planOrders(nowMillis: Long) {
+            services.values.forEach { plan ->
+                plan.inventories.values.filter { it.settle(nowMillis) }.forEach { publish(it) }
+            }
+            if (nowMillis < mayOrderAtMillis) return
+            services.values.forEach { plan ->
+                val usable = plan.inventories.values.filter { mayGetOrders(it.engine) }
+                plan.adapterPlanner.plan(usable, plan.demand, nowMillis).forEach { give(plan, it) }
+                val mayLoad = plan.pace.isOpen(nowMillis)
+                plan.planner.plan(usable, plan.demand, mayLoad, nowMillis).forEach { give(plan, it) }
+            }
+        }
+
+        private fun mayGetOrders(engine: Backend): Boolean =
+            !engine.isDraining && engine.failureDomain !in state.closedDomains
+
+        private fun give(plan: ServicePlan, order: EngineOrder) {
+            val inventory = checkNotNull(plan.inventories[order.engine])
+            val isModelLoad = order.wanted.adapter == null && order.kind == OrderKind.LOAD
+            if (isModelLoad && plan.isFromStore(inventory, order)) plan.pace.began()
+            inventory.sending(order)
+            publish(inventory)
+            scope.launch { send(inventory, order) }
+        }
+
+        private suspend fun send(inventory: EngineInventory, order: EngineOrder) {
+            val sentMillis = clock.monotonicMillis()
+            if (current() !== this) {
+                inventory.answered(OrderAnswer.REFUSED, sentMillis)
+                return
+            }
+            lastOrderMillis = sentMillis
+            val answer = orders.give(inventory.engine, order, holder, term)
+            val nowMillis = clock.monotonicMillis()
+            inventory.answered(answer, nowMillis)
+            if (answer == OrderAnswer.FENCED) leadership.fenced()
+            DecisionLog.record(
+                "order_given",
+                "engine" to order.engine,
+                "kind" to order.kind,
+                "wanted" to order.wanted,
+                "orderCount" to order.orderCount,
+                "term" to term,
+                "answer" to answer,
+                "tookMillis" to nowMillis - sentMillis
+            )
+            publish(inventory)
+            scheduleArrival(inventory, nowMillis)
+        }
+
+        private fun scheduleArrival(inventory: EngineInventory, nowMillis: Long) {
+            val arrivalMillis = inventory.nextArrivalMillis() ?: return
+            scope.launch {
+                delay((arrivalMillis - nowMillis).coerceAtLeast(1))
+                if (inventory.settle(clock.monotonicMillis())) publish(inventory)
+                if (current() === this@Reign) planOrders(clock.monotonicMillis())
+            }
+        }
+
+        private fun publish(inventory: EngineInventory) {
+            if (inventory.reportedAtMillis == Long.MIN_VALUE) return
+            val id = inventory.engine.id
+            val now = EngineContents(
+                id,
+                inventory.models.associateWith { inventory.adaptersOf(it).sorted() }
+            )
+            if (contents[id] == now) return
+            contents[id] = now
+            contentsVersion++
+            versions[id] = contentsVersion
+            DecisionLog.record("engine_contents", "engine" to id, "models" to now.models)
+            onContentsChanged()
+        }
+    }
+
+    private class ServicePlan(
+        val service: String,
+        val spec: EngineSpec,
+        before: ServicePlan?,
+        nowMillis: Long
+    ) {
+        val planner = ResidencyPlanner(spec)
+        val adapterPlanner = AdapterPlanner(spec)
+        val demand: ModelDemand = before?.demand ?: ModelDemand()
+        val pace: LoadPace = before?.pace ?: LoadPace(spec.loadsPerSecond, nowMillis)
+        val inventories: HashMap<String, EngineInventory> = before?.inventories ?: HashMap()
+        val asking = HashSet<String>()
+
+        fun isFromStore(inventory: EngineInventory, order: EngineOrder): Boolean =
+            order.wanted.model !in inventory.hostCopies && order.wanted.model !in inventory.diskCopies
+    }
+
+    private fun ModelSample.toSample() =
+        DemandSample(WantedModel(model, adapter), requests, tokens, waiting)
+
+    private companion object {
+        /** Loads take 400 ms and more, so orders need not be quicker; urgent ones do not wait. */
+        const val TICK_MILLIS = 50L
+
+        /** Demand of an instance is told four times a second. */
+        const val DEAL_MILLIS = 250L
+
+        /** Outlasts an outage of the log of nine seconds, as the sites list them. */
+        const val SHARE_LEASE_MILLIS = 10_000L
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardMessage.kt
@@ -0,0 +1,80 @@
+/*
+ * What instances and their leader tell each other, in CBOR frames over one connection from each
+ * instance to the leader. Nothing is sent between other instances, so the number of messages grows
+ * with the number of instances and not with its square.
+ */
+package mustarddale.instance.serving.steward
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A message between an instance and the leader. */
+@Serializable
+public sealed interface StewardMessage {
+    /**
+     * What an instance tells.
+     *
+     * @property number counts the reports of this connection.
+     * @property term the leadership whose shares are in force, and [confirmedRevision] which.
+     */
+    @Serializable
+    @SerialName("report")
+    public data class Report(
+        public val instance: String,
+        public val run: String,
+        public val number: Long,
+        public val term: Long,
+        public val confirmedRevision: Long,
+        public val shares: Map<String, Double>,
+        public val wantedTokens: Map<String, Double>,
+        public val demand: List<ServiceDemand>
+    ) : StewardMessage
+
+    /**
+     * What the leader tells.
+     *
+     * @property answers the number of the report that this answers; the lease of [shares] counts
+     *   from when that was sent.
+     * @property engines what has changed at engines since the last message.
+     */
+    @Serializable
+    @SerialName("state")
+    public data class State(
+        public val term: Long,
+        public val answers: Long,
+        public val revision: Long,
+        public val shares: Map<String, Double>,
+        public val shareLeaseMillis: Long,
+        public val instances: Int,
+        public val engines: List<EngineContents>
+    ) : StewardMessage
+
+    /** The other end does not lead. */
+    @Serializable
+    @SerialName("not-leading")
+    public data object NotLeading : StewardMessage
+}
+
+/** The demand for one service's models at one instance. */
+@Serializable
+public data class ServiceDemand(
+    public val service: String,
+    public val models: List<ModelSample>
+)
+
+/** The demand for one model or adapter since the last report. */
+@Serializable
+public data class ModelSample(
+    public val model: String,
+    public val adapter: String?,
+    public val requests: Int,
+    public val tokens: Double,
+    public val waiting: Int
+)
+
+/** The models of one engine that requests may be sent for, each with its adapters. */
+@Serializable
+public data class EngineContents(
+    public val engine: String,
+    public val models: Map<String, List<String>>
+)
