--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
@@ -45,6 +45,8 @@
     private var sending: Sending? = null
     private var endOffset: Long? = null
     private var seenAtMillis = 0L
+    private var readAtMillis = 0L
+    private var heardAtMillis = Long.MIN_VALUE
     private var ownLeaseUntilMillis = Long.MIN_VALUE
     private var renewAtMillis = 0L
     private var ownTerm: Long? = null
@@ -60,6 +62,7 @@
     /** Takes in a read that found [records] and the log's [end]. */
     public fun observe(records: List<LoggedLeader>, end: Long, nowMillis: Long) {
         mustRead = false
+        readAtMillis = nowMillis
         if (end != endOffset) seenAtMillis = nowMillis
         endOffset = end
         val last = records.maxByOrNull { it.offset } ?: return
@@ -100,6 +103,11 @@
         mustRead = true
     }
 
+    /** Notes that the leader of the newest known term was heard itself. */
+    public fun heardLeader(nowMillis: Long) {
+        heardAtMillis = nowMillis
+    }
+
     /** Notes that the leader has fallen silent, so that the log has to be read. */
     public fun suspectLeader() {
         mustRead = true
@@ -116,9 +124,13 @@
         }
         val last = newest?.record
         val isVacant = last == null || last.isResigning || last.instance == instance
-        val vacantAtMillis =
-            if (isVacant) seenAtMillis else seenAtMillis + times.leaseMillis + times.driftMillis
-        if (nowMillis < vacantAtMillis) return ElectionStep.Wait(vacantAtMillis)
+        if (!isVacant) {
+            val waitMillis = times.leaseMillis + times.driftMillis
+            val silentAtMillis = maxOf(seenAtMillis, heardAtMillis) + waitMillis
+            if (nowMillis < silentAtMillis) return ElectionStep.Wait(silentAtMillis)
+            // Only a read that found nothing new for a whole lease shows that nobody leads.
+            if (readAtMillis < seenAtMillis + waitMillis) return ElectionStep.Read(end)
+        }
         return ElectionStep.Append(end, LeaderRecord.UNKNOWN_TERM)
     }
 
--- a/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
@@ -50,10 +50,11 @@
 
     /** Whether the contents are known and an order on a model may be given. */
     public val mayOrderModel: Boolean
-        get() = mayOrderAdapter && change == null && !isReportedBusy && coming.isEmpty()
+        get() = mayOrderAdapter && coming.isEmpty()
 
     /** Whether the contents are known and an order on an adapter may be given. */
-    public val mayOrderAdapter: Boolean get() = orderCount != null && openOrder == null
+    public val mayOrderAdapter: Boolean
+        get() = orderCount != null && openOrder == null && change == null && !isReportedBusy
 
     /** Returns the adapters of [model] that are there. */
     public fun adaptersOf(model: String): Set<String> = adapters[model].orEmpty()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -20,10 +20,12 @@
 import java.net.InetSocketAddress
 import java.time.Duration
 import java.util.UUID
+import java.util.concurrent.TimeUnit
 import java.util.random.RandomGenerator
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -65,7 +67,7 @@
     private val settings: ServingSettings,
     private val clock: Clock = SystemClock,
     connect: (ClientFactory, Clock) -> ServingPlatform
-) {
+) : AutoCloseable {
     private val group = EventLoopGroups.newEventLoopGroup(1, "serving", true)
     private val loop = group.next()
     private val dispatcher = loop.asCoroutineDispatcher()
@@ -142,6 +144,9 @@
         })
         .build()
 
+    /** The requests of callers that have no final answer yet. */
+    public val openRequests: Int get() = callers.openRequests
+
     /** Starts to serve. */
     public fun start() {
         state.onUrgentDemand = link::hurry
@@ -203,6 +208,15 @@
         DecisionLog.record("stopped", "open" to callers.openRequests)
     }
 
+    /** Stops at once, without finishing what runs. */
+    override fun close() {
+        scope.cancel()
+        link.close()
+        server.stop().join()
+        clients.close()
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
     private companion object {
         /** Servers of the region answer within a few milliseconds. */
         const val CONNECT_TIMEOUT_MILLIS = 400L
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -11,10 +11,12 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
+import io.netty.channel.ChannelFutureListener
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.launch
 import mustarddale.error.ErrorKind
@@ -35,6 +37,7 @@
     private val onRequest: (ServiceRequestContext) -> Unit
 ) : HttpService {
     /** The requests that have no final answer yet. */
+    @Volatile
     public var openRequests: Int = 0
         private set
 
@@ -47,10 +50,19 @@
             handle(ctx, req, response, arrivedAtMillis)
         }
         response.whenComplete().whenComplete { _, _ -> job.cancel() }
+        cancelOnClose(ctx, job)
         job.invokeOnCompletion { openRequests-- }
         return response
     }
 
+    /** The library tells of a closed connection only after a second. */
+    private fun cancelOnClose(ctx: ServiceRequestContext, job: Job) {
+        val closed = ctx.log().partial().channel()?.closeFuture() ?: return
+        val listener = ChannelFutureListener { job.cancel() }
+        closed.addListener(listener)
+        job.invokeOnCompletion { closed.removeListener(listener) }
+    }
+
     @Suppress("TooGenericExceptionCaught")
     private suspend fun handle(
         ctx: ServiceRequestContext,
@@ -68,7 +80,7 @@
             }
             answer(head, req, whole.content(), writer, arrivedAtMillis)
         } catch (e: CancellationException) {
-            if (head != null) logLeft(head, arrivedAtMillis)
+            if (head != null && !writer.hasEnded) logLeft(head, arrivedAtMillis)
             throw e
         } catch (e: Exception) {
             DecisionLog.record(
@@ -123,6 +135,9 @@
         override var hasBegun = false
             private set
 
+        var hasEnded = false
+            private set
+
         override fun head(headers: ResponseHeaders) {
             hasBegun = true
             response.tryWrite(headers)
@@ -133,17 +148,19 @@
         }
 
         override fun complete() {
+            hasEnded = true
             response.close()
         }
 
         override fun breakOff(reason: String) {
+            hasEnded = true
             response.close(IOException(reason))
         }
 
         override fun refuse(refusal: Refusal) {
             head(protocol.refusal(refusal, requestId))
             response.tryWrite(HttpData.ofUtf8(refusal.message))
-            response.close()
+            complete()
         }
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/LeadershipDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/LeadershipDuty.kt
@@ -64,6 +64,11 @@
     /** The newest known leader, null if there is none or it has resigned. */
     public fun leader(): LoggedLeader? = election.newest?.takeIf { !it.record.isResigning }
 
+    /** Notes that the leader of [term] was heard itself. */
+    public fun heardLeader(term: Long) {
+        if (term == election.newest?.term) election.heardLeader(clock.monotonicMillis())
+    }
+
     /** Notes that the leader does not answer, or says that it does not lead. */
     public fun suspectLeader() {
         election.suspectLeader()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
@@ -1,6 +1,6 @@
 /*
- * The connections between instances and their leader. Sockets belong to one thread of their own; all
- * decisions are made on the event loop. A connection that is silent for several reports is given up,
+ * The connections between instances and their leader. The library's threads move the bytes; messages
+ * are read and written on the event loop, where all decisions are made. A connection that is silent for several reports is given up,
  * because the other end may be gone without a word.
  */
 package mustarddale.instance.serving.steward
@@ -12,14 +12,12 @@
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import java.io.IOException
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.Executors
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
@@ -27,30 +25,25 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.instance.peer.FrameCodec
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.serving.leadership.LeaderRecord
 
-/** Connects the instance [self] with its leader; [eventLoop] owns [member] and [steward]. */
+/** Connects the instance [self] with its leader; [eventLoop] owns all of these. */
 public class StewardLink(
     private val self: LeaderRecord,
     private val leadership: LeadershipDuty,
     private val member: MemberDuty,
     private val steward: StewardDuty,
-    private val eventLoop: CoroutineDispatcher
+    eventLoop: CoroutineDispatcher
 ) : AutoCloseable {
-    private val thread = Executors.newSingleThreadExecutor { task ->
-        Thread(task, "steward-link").apply { isDaemon = true }
-    }
-    private val dispatcher = thread.asCoroutineDispatcher()
-    private val selector = SelectorManager(dispatcher)
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val scope = CoroutineScope(SupervisorJob() + eventLoop)
     private val codec = FrameCodec(StewardMessage.serializer())
     private val urgent = Channel<Unit>(Channel.CONFLATED)
-    private val changed = ConcurrentHashMap.newKeySet<Channel<Unit>>()
+    private val changed = LinkedHashSet<Channel<Unit>>()
 
     /** Listens for instances and connects to the leader. */
     public fun start() {
@@ -71,7 +64,6 @@
     override fun close() {
         scope.cancel()
         selector.close()
-        thread.shutdown()
     }
 
     private suspend fun listen() {
@@ -85,7 +77,7 @@
 
     private suspend fun follow() {
         while (true) {
-            val leader = withContext(eventLoop) { leadership.leader()?.record }
+            val leader = leadership.leader()?.record
             when {
                 leader == null -> suspectLeader()
                 leader.run == self.run -> followSelf()
@@ -96,18 +88,14 @@
     }
 
     private suspend fun suspectLeader() {
-        withContext(eventLoop) { leadership.suspectLeader() }
+        leadership.suspectLeader()
         delay(RECONNECT_MILLIS)
     }
 
     private suspend fun followSelf() {
-        val isLeading = withContext(eventLoop) {
-            val report = member.report()
-            steward.report(report).also { isLeading ->
-                val state = steward.stateFor(self.instance, report.number, seenVersion = 0)
-                if (isLeading && state != null) member.apply(state)
-            }
-        }
+        val report = member.report()
+        val isLeading = steward.report(report)
+        steward.stateFor(self.instance, report.number, seenVersion = 0)?.let { member.apply(it) }
         if (!isLeading) suspectLeader()
         withTimeoutOrNull(if (isLeading) REPORT_MILLIS else 1) { urgent.receive() }
     }
@@ -142,14 +130,17 @@
         val input = socket.openReadChannel()
         launch {
             while (true) {
-                val report = withContext(eventLoop) { member.report() }
-                codec.write(output, report)
+                codec.write(output, member.report())
                 withTimeoutOrNull(REPORT_MILLIS) { urgent.receive() }
             }
         }
         while (true) {
             when (val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }) {
-                is StewardMessage.State -> withContext(eventLoop) { member.apply(message) }
+                is StewardMessage.State -> {
+                    leadership.heardLeader(message.term)
+                    member.apply(message)
+                }
+
                 is StewardMessage.NotLeading -> throw IOException("the other end does not lead")
                 is StewardMessage.Report -> throw IOException("a report from the leader")
             }
@@ -168,17 +159,15 @@
                 while (true) {
                     signal.receive()
                     val report = lastReport ?: continue
-                    val state = withContext(eventLoop) {
-                        steward.stateFor(report.instance, report.number, seenVersion)
-                            ?.also { seenVersion = steward.contentsVersion }
-                    }
+                    val state = steward.stateFor(report.instance, report.number, seenVersion)
+                    if (state != null) seenVersion = steward.contentsVersion
                     codec.write(output, state ?: StewardMessage.NotLeading)
                 }
             }
             while (true) {
                 val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }
                 if (message !is StewardMessage.Report) throw IOException("not a report")
-                withContext(eventLoop) { steward.report(message) }
+                steward.report(message)
                 lastReport = message
                 signal.trySend(Unit)
             }
