Planner keeps what it does not know; quota slack shared; short waits for tokens

Cause: at the start the leader knew no demand, so every model counted as unwanted and each need evicted another (six unloads within 0.1 s of the first requests). Small accounts' shares held less than one request.

--- a/core/src/main/kotlin/mustarddale/serving/quota/AccountQuota.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/AccountQuota.kt
@@ -8,8 +8,13 @@
 import mustarddale.rate.TokenBucket
 import mustarddale.serving.config.ServedAccount
 
-/** The buckets of all accounts at one instance; belongs to one thread. */
-public class AccountQuota {
+/**
+ * The buckets of all accounts at one instance; belongs to one thread.
+ *
+ * @param extraTokens what each account may use beyond its burst over the fleet, because it is
+ *   divided among instances that its requests do not reach evenly.
+ */
+public class AccountQuota(private val extraTokens: () -> Double) {
     private val buckets = HashMap<String, TokenBucket>()
     private val wantedTokens = HashMap<String, Double>()
     private var shares = emptyMap<String, Double>()
@@ -68,7 +73,7 @@
     private fun bucketOf(account: ServedAccount, nowMillis: Long): TokenBucket? {
         val rate = account.tokensPerSecond ?: return null
         val share = shareOf(account.name)
-        val capacity = account.burstTokens * share
+        val capacity = (account.burstTokens + extraTokens()) * share
         val perMilli = rate * share / MILLIS_PER_SECOND
         val known = buckets[account.name]
             ?: TokenBucket(capacity, perMilli, level = 0.0, atMillis = nowMillis)
--- a/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
@@ -6,12 +6,17 @@
  */
 package mustarddale.serving.residency
 
-import kotlin.math.ceil
+import kotlin.math.roundToInt
 import mustarddale.serving.backend.WantedModel
 import mustarddale.serving.config.EngineSpec
 
-/** Plans the models of one service's engines. */
-public class ResidencyPlanner(private val spec: EngineSpec) {
+/**
+ * Plans the models of one service's engines.
+ *
+ * @param knowsSinceMillis since when demand is counted; what was asked for before is not known, so
+ *   every model counts as wanted for a while.
+ */
+public class ResidencyPlanner(private val spec: EngineSpec, private val knowsSinceMillis: Long) {
     /**
      * Returns the next orders, at most one for an engine.
      *
@@ -46,8 +51,12 @@
         fun loadReserved() {
             engines.filter { it.reservedFor != null && it.isFree() }.forEach { engine ->
                 val model = checkNotNull(engine.reservedFor)
-                if (engine.fits(model)) tryLoad(engine, model)
-                engine.reservedFor = null
+                if (!engine.fits(model) || !isWanted(model)) {
+                    engine.reservedFor = null
+                } else if (mayLoad(engine, model)) {
+                    tryLoad(engine, model)
+                    engine.reservedFor = null
+                }
             }
         }
 
@@ -117,7 +126,6 @@
                 engine.models.sumOf { demand.share(it) } * MILLIS_PER_SHARE
 
         private fun loss(victim: String): Double = when {
-            copies(victim) > 1 && copies(victim) > desiredCopies(victim) -> IDLE_VALUE
             copies(victim) > 1 -> extraCopyValue(victim, copies(victim))
             isWanted(victim) -> lastCopyValue(victim) + recency(victim)
             else -> IDLE_VALUE
@@ -131,12 +139,13 @@
         private fun lastCopyValue(model: String): Double = LAST_COPY_VALUE +
             demand.waitingFor(model) * WAITING_VALUE + demand.rate(model) * RATE_VALUE
 
+        /** The value of the copy with the number [copy], which is above 1. */
         private fun extraCopyValue(model: String, copy: Int): Double =
-            EXTRA_COPY_VALUE * demand.share(model) / copy
+            IDLE_VALUE + EXTRA_COPY_VALUE * demand.share(model) / copy
 
         private fun desiredCopies(model: String): Int {
             val share = demand.share(model)
-            val byShare = ceil(share * engines.size).toInt()
+            val byShare = (share * engines.size).roundToInt()
             val atLeast = if (share >= BUSY_SHARE) 2 else 1
             return maxOf(byShare, atLeast).coerceAtMost(engines.size)
         }
@@ -149,7 +158,7 @@
         }
 
         private fun isWanted(model: String): Boolean {
-            val last = demand.lastWantedMillis(model) ?: return false
+            val last = demand.lastWantedMillis(model) ?: knowsSinceMillis
             return nowMillis - last < WANTED_MILLIS || demand.waitingFor(model) > 0
         }
 
@@ -188,7 +197,7 @@
         const val WANTED_MILLIS = 15_000L
 
         /** Above this part of all tokens the loss of the only copy would be felt. */
-        const val BUSY_SHARE = 0.1
+        const val BUSY_SHARE = 0.12
 
         /** Values are an order: a last copy, then further copies, then idle models. */
         const val LAST_COPY_VALUE = 1_000.0
@@ -203,8 +212,8 @@
         const val RECENT_MILLIS = 1_000L
         const val RECENT_VALUE = 30.0
 
-        /** A copy is given up only for one worth a fifth more. */
-        const val HYSTERESIS = 1.2
+        /** A copy is given up only for one worth a third more. */
+        const val HYSTERESIS = 1.3
 
         /** A running request counts as five milliseconds of load time when engines are compared. */
         const val MILLIS_PER_REQUEST = 5.0
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
@@ -47,6 +47,12 @@
         )
     }
 
+    /** Returns when tokens for a request refused as [outcome] will be there; null if it was not. */
+    public fun waitMillis(outcome: Outcome<Admitted>): Long? {
+        val refusal = (outcome as? Outcome.Failure)?.refusal ?: return null
+        return refusal.retryAfterMillis.takeIf { refusal.kind == ErrorKind.RATE_EXCEEDED }
+    }
+
     private fun tokensOf(head: CallerHead, account: ServedAccount?): Double =
         head.tokens ?: account?.tokensWithoutCount ?: 0.0
 
@@ -58,7 +64,6 @@
         ErrorKind.RATE_EXCEEDED,
         "account ${account.name} has a share of ${state.quota.shareOf(account.name)} here",
         retryAfterMillis = state.quota.waitMillis(account, tokens, nowMillis)
-            .coerceAtLeast(MIN_RETRY_MILLIS)
     )
 
     @Suppress("LongParameterList")
@@ -92,8 +97,5 @@
     private companion object {
         /** An instance that starts knows its configuration within a second. */
         const val NOT_READY_RETRY_MILLIS = 500L
-
-        /** Shorter times would come back before anything has changed. */
-        const val MIN_RETRY_MILLIS = 200L
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.launch
 import mustarddale.error.ErrorKind
@@ -99,8 +100,7 @@
         writer: AnswerWriter,
         arrivedAtMillis: Long
     ) {
-        val nowMillis = clock.monotonicMillis()
-        when (val admitted = admission.admit(head, req.headers(), body, arrivedAtMillis, nowMillis)) {
+        when (val admitted = admit(head, req, body, arrivedAtMillis)) {
             is Outcome.Success -> forwarder.forward(admitted.value, writer)
 
             is Outcome.Failure -> {
@@ -110,6 +110,23 @@
         }
     }
 
+    /** Admits a request, and waits for its tokens if they are there soon enough. */
+    private suspend fun admit(
+        head: CallerHead,
+        req: HttpRequest,
+        body: HttpData,
+        arrivedAtMillis: Long
+    ): Outcome<Admitted> {
+        while (true) {
+            val nowMillis = clock.monotonicMillis()
+            val admitted = admission.admit(head, req.headers(), body, arrivedAtMillis, nowMillis)
+            val waitMillis = admission.waitMillis(admitted) ?: return admitted
+            val leftMillis = arrivedAtMillis + MAX_TOKEN_WAIT_MILLIS - nowMillis
+            if (waitMillis > leftMillis) return admitted
+            delay(waitMillis.coerceAtLeast(1))
+        }
+    }
+
     private fun logRefused(head: CallerHead, refusal: Refusal) {
         DecisionLog.record(
             "refused",
@@ -128,6 +145,11 @@
         )
     }
 
+    private companion object {
+        /** A third of the usual target: the answer can still be on time. */
+        const val MAX_TOKEN_WAIT_MILLIS = 100L
+    }
+
     private inner class StreamingAnswer(
         private val response: HttpResponseWriter,
         private val requestId: String?
--- a/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
@@ -14,6 +14,7 @@
  * @property isFirstStart whether the whole fleet starts for the first time.
  * @property coldFactor by how much the rate of a cold server may be exceeded within one second.
  * @property coldExtraRequests what is added to that bound.
+ * @property quotaSlackTokens by how much an account's use in one window may exceed its limit.
  * @property termGraceMillis how long a process lives after SIGTERM.
  * @property orderLeaseMillis the time that must lie between the orders of two leaders.
  */
@@ -31,6 +32,7 @@
     public val coldFactor: Double,
     public val coldExtraRequests: Double,
     public val retryLimits: RetryLimits,
+    public val quotaSlackTokens: Double,
     public val termGraceMillis: Long,
     public val orderLeaseMillis: Long
 )
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -34,7 +34,8 @@
     public val waitingRoom: WaitingRoom = WaitingRoom()
 
     /** What client accounts may use here. */
-    public val quota: AccountQuota = AccountQuota()
+    public val quota: AccountQuota =
+        AccountQuota { settings.quotaSlackTokens * SLACK_PART }
 
     /** Models by engine as the leader orders them. */
     public val residency: ResidencyView = ResidencyView()
@@ -197,6 +198,9 @@
         /** Assumed until the leader has told the number: more than the sites' sizes of today. */
         const val UNKNOWN_INSTANCE_COUNT = 16
 
+        /** The rest of the slack is for requests that are larger than a full bucket. */
+        const val SLACK_PART = 0.6
+
         /** Requests sent within one second may arrive within another. */
         const val COLD_SAFETY = 0.8
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
@@ -97,6 +97,7 @@
 
     private inner class Reign(won: WonTerm, private val mayOrderAtMillis: Long) {
         val term = won.term
+        private val startMillis = won.sinceMillis
         var recordedHolders: Set<String> = won.predecessor?.shareHolders.orEmpty().toSet()
         var contentsVersion = 0L
             private set
@@ -173,7 +174,7 @@
             val spec = state.configuration?.services?.get(service)?.engine ?: return null
             val known = services[service]
             if (known != null && known.spec == spec) return known
-            val plan = ServicePlan(service, spec, known, clock.monotonicMillis())
+            val plan = ServicePlan(service, spec, known, startMillis, clock.monotonicMillis())
             services[service] = plan
             return plan
         }
@@ -285,9 +286,10 @@
         val service: String,
         val spec: EngineSpec,
         before: ServicePlan?,
+        knowsSinceMillis: Long,
         nowMillis: Long
     ) {
-        val planner = ResidencyPlanner(spec)
+        val planner = ResidencyPlanner(spec, knowsSinceMillis)
         val adapterPlanner = AdapterPlanner(spec)
         val demand: ModelDemand = before?.demand ?: ModelDemand()
         val pace: LoadPace = before?.pace ?: LoadPace(spec.loadsPerSecond, nowMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
@@ -88,8 +88,11 @@
     }
 
     private suspend fun suspectLeader() {
+        val known = leadership.leader()
         leadership.suspectLeader()
-        delay(RECONNECT_MILLIS)
+        withTimeoutOrNull(RECONNECT_MILLIS) {
+            while (leadership.leader() == known) delay(LEADER_CHECK_MILLIS)
+        }
     }
 
     private suspend fun followSelf() {
@@ -202,7 +205,8 @@
         /** Instances are a few milliseconds apart. */
         const val CONNECT_TIMEOUT_MILLIS = 400L
 
-        /** An election takes longer than that. */
-        const val RECONNECT_MILLIS = 100L
+        /** An election takes several times as long, and each try reads the log once. */
+        const val RECONNECT_MILLIS = 400L
+        const val LEADER_CHECK_MILLIS = 20L
     }
 }
