Planner: values in requests a second, few engines changing at once; idempotent requests retried after a 5xx

Cause: eviction by class of copy made rare models and further copies of busy ones displace each other.

--- a/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
@@ -14,6 +14,7 @@
 public class EngineInventory(public var engine: Backend) {
     private val adapters = HashMap<String, MutableSet<String>>()
     private val coming = HashMap<WantedModel, Long>()
+    private val appearedAtMillis = HashMap<String, Long>()
     private var change: ModelChange? = null
     private var orderCount: Long? = null
     private var isReportedBusy = false
@@ -37,6 +38,10 @@
     public var diskCopies: Set<String> = engine.diskCopies
         private set
 
+    /** Whether [model] was loaded within the last seconds and has hardly been used yet. */
+    public fun isNew(model: String, nowMillis: Long): Boolean =
+        nowMillis - (appearedAtMillis[model] ?: Long.MIN_VALUE / 2) < NEW_MILLIS
+
     /** The model that is kept free room for, null if there is none. */
     public var reservedFor: String? = null
 
@@ -99,6 +104,8 @@
         report.coming.forEach { coming.putIfAbsent(it, nowMillis + ADAPTER_LOAD_MILLIS) }
         adapters.clear()
         report.models.forEach { (model, names) -> adapters[model] = names.toHashSet() }
+        val loaded = change?.takeIf { it.kind == OrderKind.LOAD }?.model
+        if (loaded != null && loaded in report.models) appearedAtMillis[loaded] = nowMillis
         if (!report.isBusy) change = null
     }
 
@@ -195,6 +202,9 @@
     private data class ModelChange(val kind: OrderKind, val model: String)
 
     private companion object {
+        /** A load takes up to 4.2 s, so its model is kept for a while. */
+        const val NEW_MILLIS = 2_500L
+
         /** Adapters arrive within 10 ms at full speed (site pages), and a little for the way. */
         const val ADAPTER_LOAD_MILLIS = 14L
 
--- a/core/src/main/kotlin/mustarddale/serving/residency/ModelDemand.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/ModelDemand.kt
@@ -74,7 +74,7 @@
     public fun lastWantedMillis(wanted: WantedModel): Long? = adapters[wanted]?.lastMillis
 
     private fun perSecond(figures: Figures?): Double =
-        (figures?.requests ?: 0.0) * MILLIS_PER_SECOND / LIFETIME_MILLIS
+        (figures?.requests ?: 0.0) * MILLIS_PER_SECOND / REQUEST_LIFETIME_MILLIS
 
     private fun count(figures: Figures, sample: DemandSample, nowMillis: Long) {
         figures.requests += sample.requests
@@ -83,11 +83,13 @@
     }
 
     private fun fade(nowMillis: Long) {
-        val factor = exp(-(nowMillis - fadedAtMillis).coerceAtLeast(0) / LIFETIME_MILLIS)
+        val elapsedMillis = (nowMillis - fadedAtMillis).coerceAtLeast(0)
+        val requestFactor = exp(-elapsedMillis / REQUEST_LIFETIME_MILLIS)
+        val tokenFactor = exp(-elapsedMillis / TOKEN_LIFETIME_MILLIS)
         fadedAtMillis = nowMillis
         (models.values + adapters.values).forEach {
-            it.requests *= factor
-            it.tokens *= factor
+            it.requests *= requestFactor
+            it.tokens *= tokenFactor
         }
     }
 
@@ -100,7 +102,10 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
 
+        /** Rare models are asked for every two or three seconds. */
+        const val REQUEST_LIFETIME_MILLIS = 6_000.0
+
         /** Demand moves to other models within four to six seconds. */
-        const val LIFETIME_MILLIS = 3_000.0
+        const val TOKEN_LIFETIME_MILLIS = 3_000.0
     }
 }
--- a/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
@@ -51,7 +51,7 @@
         fun loadReserved() {
             engines.filter { it.reservedFor != null && it.isFree() }.forEach { engine ->
                 val model = checkNotNull(engine.reservedFor)
-                if (!engine.fits(model) || !isWanted(model)) {
+                if (!engine.fits(model)) {
                     engine.reservedFor = null
                 } else if (mayLoad(engine, model)) {
                     tryLoad(engine, model)
@@ -66,12 +66,15 @@
         private fun need(model: String): Need? {
             val copies = copies(model)
             val reserved = engines.count { it.reservedFor == model }
+            val waiting = demand.waitingFor(model)
             return when {
-                copies == 0 && reserved > 0 -> null
-                copies == 0 && isWanted(model) -> Need(model, lastCopyValue(model), mayEvict = true)
-                copies == 0 -> Need(model, IDLE_VALUE, mayEvict = false)
-                copies + reserved < desiredCopies(model) ->
-                    Need(model, extraCopyValue(model, copies + 1), mayEvict = true)
+                copies + reserved == 0 && waiting > 0 ->
+                    Need(model, WAITING_VALUE + waiting + demand.rate(model), mayEvict = true)
+
+                copies + reserved == 0 -> Need(model, demand.rate(model), mayEvict = false)
+
+                copies > 0 && copies + reserved < desiredCopies(model) ->
+                    Need(model, extraCopyValue(model), mayEvict = true)
 
                 else -> null
             }
@@ -91,9 +94,12 @@
         }
 
         private fun evictFor(need: Need, candidates: List<EngineInventory>) {
+            val changing = engines.count { !it.mayOrderAdapter || it.reservedFor != null }
+            if (changing + orders.size >= maxOf(1, engines.size / MAX_CHANGING_PART)) return
             val best = candidates
                 .flatMap { engine -> engine.models.map { engine to it } }
                 .filter { (engine, victim) -> engine.fitsWithout(victim, need.model) }
+                .filter { (engine, victim) -> !engine.isNew(victim, nowMillis) }
                 .minByOrNull { (engine, victim) ->
                     loss(victim) + loadCost(engine, need.model) / MILLIS_PER_VALUE
                 } ?: return
@@ -125,10 +131,16 @@
             loadMillis(engine, model) + engine.load * MILLIS_PER_REQUEST +
                 engine.models.sumOf { demand.share(it) } * MILLIS_PER_SHARE
 
-        private fun loss(victim: String): Double = when {
-            copies(victim) > 1 -> extraCopyValue(victim, copies(victim))
-            isWanted(victim) -> lastCopyValue(victim) + recency(victim)
-            else -> IDLE_VALUE
+        private fun loss(victim: String): Double {
+            if (copies(victim) > desiredCopies(victim)) return demand.rate(victim) * SPARE_COPY_PART
+            if (copies(victim) > 1) return extraCopyValue(victim)
+            return rate(victim) + recency(victim) + demand.waitingFor(victim)
+        }
+
+        /** The rate of [model], or a guess while too little is known. */
+        private fun rate(model: String): Double {
+            val isUnknown = nowMillis - knowsSinceMillis < LEARNING_MILLIS
+            return maxOf(demand.rate(model), if (isUnknown) UNKNOWN_RATE else 0.0)
         }
 
         private fun recency(model: String): Double {
@@ -136,12 +148,7 @@
             return if (nowMillis - last < RECENT_MILLIS) RECENT_VALUE else 0.0
         }
 
-        private fun lastCopyValue(model: String): Double = LAST_COPY_VALUE +
-            demand.waitingFor(model) * WAITING_VALUE + demand.rate(model) * RATE_VALUE
-
-        /** The value of the copy with the number [copy], which is above 1. */
-        private fun extraCopyValue(model: String, copy: Int): Double =
-            IDLE_VALUE + EXTRA_COPY_VALUE * demand.share(model) / copy
+        private fun extraCopyValue(model: String): Double = demand.rate(model) * EXTRA_COPY_PART
 
         private fun desiredCopies(model: String): Int {
             val share = demand.share(model)
@@ -157,11 +164,6 @@
                 } ?: false
         }
 
-        private fun isWanted(model: String): Boolean {
-            val last = demand.lastWantedMillis(model) ?: knowsSinceMillis
-            return nowMillis - last < WANTED_MILLIS || demand.waitingFor(model) > 0
-        }
-
         private fun EngineInventory.isFree(): Boolean = mayOrderModel && engine.id !in orders
     }
 
@@ -193,35 +195,41 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
 
-        /** A model that was asked for once in a while keeps its last copy this long. */
-        const val WANTED_MILLIS = 15_000L
-
         /** Above this part of all tokens the loss of the only copy would be felt. */
         const val BUSY_SHARE = 0.12
 
-        /** Values are an order: a last copy, then further copies, then idle models. */
-        const val LAST_COPY_VALUE = 1_000.0
-        const val EXTRA_COPY_VALUE = 500.0
-        const val IDLE_VALUE = 1.0
+        /** All values are in requests a second that are served better. */
+
+        /** A request that waits for an absent model is lost without it. */
+        const val WAITING_VALUE = 3.0
 
-        /** A waiting request outweighs about two requests a second that are served elsewhere. */
-        const val WAITING_VALUE = 20.0
-        const val RATE_VALUE = 10.0
+        /** A further copy halves the load of the first and is there when an engine is lost. */
+        const val EXTRA_COPY_PART = 0.1
 
-        /** A copy that has just been used is likely to be used again. */
-        const val RECENT_MILLIS = 1_000L
-        const val RECENT_VALUE = 30.0
+        /** A copy above the desired number is of little use, but no burden. */
+        const val SPARE_COPY_PART = 0.01
+
+        /** Until demand has been counted for a while, each model may be a rare one. */
+        const val LEARNING_MILLIS = 10_000L
+        const val UNKNOWN_RATE = 0.2
+
+        /** A copy that has just been used has requests under way, which an unload waits for. */
+        const val RECENT_MILLIS = 1_500L
+        const val RECENT_VALUE = 0.7
 
         /** A copy is given up only for one worth a third more. */
         const val HYSTERESIS = 1.3
 
+        /** An engine that changes its models takes no adapters, so only a third does at a time. */
+        const val MAX_CHANGING_PART = 3
+
         /** A running request counts as five milliseconds of load time when engines are compared. */
         const val MILLIS_PER_REQUEST = 5.0
 
         /** A busy neighbour counts as up to a second of load time. */
         const val MILLIS_PER_SHARE = 1_000.0
 
-        /** A second of load time weighs as one idle model when a victim is chosen. */
-        const val MILLIS_PER_VALUE = 1_000.0
+        /** Four seconds of load time weigh as a request a second when a victim is chosen. */
+        const val MILLIS_PER_VALUE = 4_000.0
     }
 }
--- a/core/src/main/kotlin/mustarddale/serving/retry/RetryBudget.kt
+++ b/core/src/main/kotlin/mustarddale/serving/retry/RetryBudget.kt
@@ -26,12 +26,17 @@
         trim(nowMillis)
     }
 
-    /** Counts a retry if the budget of one among [instances] instances allows it. */
-    public fun tryRetry(instances: Int, nowMillis: Long): Boolean {
+    /** Whether the budget of one among [instances] instances allows a retry. */
+    public fun mayRetry(instances: Int, nowMillis: Long): Boolean {
         trim(nowMillis)
         val share = limits.allowance / instances.coerceAtLeast(1)
         val allowed = (limits.ratio * requests.size + share) * SAFETY
-        if (retries.size + 1 > allowed) return false
+        return retries.size + 1 <= allowed
+    }
+
+    /** Counts a retry if the budget of one among [instances] instances allows it. */
+    public fun tryRetry(instances: Int, nowMillis: Long): Boolean {
+        if (!mayRetry(instances, nowMillis)) return false
         retries.addLast(nowMillis)
         return true
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
@@ -165,6 +165,11 @@
                         runs++
                         start.head.load?.let { load.told(it, nowMillis) }
                         val isFailure = start.headers.status().isServerError
+                        if (isFailure && mayTryAnother()) {
+                            start.body.abort()
+                            ending = Ending.FAILED
+                            return false
+                        }
                         val failure = relay(start)
                         ending = when {
                             failure != null -> Ending.LOST
@@ -182,6 +187,15 @@
             }
         }
 
+        /** Whether a failure of an idempotent request is worth another server. */
+        private fun mayTryAnother(): Boolean =
+            request.route.repeatability == Repeatability.IDEMPOTENT &&
+                runs < request.route.maxAttempts && hasAnother() &&
+                state.budgetOf(request.service).mayRetry(state.instanceCount, clock.monotonicMillis())
+
+        private fun hasAnother(): Boolean =
+            state.candidates(request.service, request.head.wanted).any { it.backend.id !in excluded }
+
         private fun notHere(backend: Backend) {
             request.head.wanted?.let { state.notHere(backend, it) }
         }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -72,7 +72,8 @@
             "configuration_taken",
             "version" to next.version,
             "routes" to next.routes.size,
-            "before" to version
+            "before" to version,
+            "rates" to next.accounts.values.associate { it.name to it.tokensPerSecond }
         )
     }
 
