Lend half of each account's rate out of a pool of the leader

Cause: requests reach instances in clumps, so a share by past demand was short here while it lay idle there; 241 tries of accounts within their rate were refused, 'late' answers were their second tries.

--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
@@ -2,7 +2,7 @@
  * Divides the accounts' rates among instances by demand. A share counts as held from before it is
  * dealt until the instance has confirmed a smaller one, its process is replaced, or its lease has
  * run out; only what nobody can hold is dealt out. So the shares in force never add up to more than
- * one, whatever messages are lost.
+ * the total, whatever messages are lost.
  */
 package mustarddale.serving.quota
 
@@ -22,10 +22,12 @@
  * The shares of all instances, kept by the leader; belongs to one thread.
  *
  * @param earlierHolders instances that may hold shares dealt by earlier leaders.
+ * @param total what all shares add up to, at most 1.
  * @param leaseMillis how long a dealt share is valid, counted by the ledger from when it is dealt.
  */
 public class ShareLedger(
     earlierHolders: Collection<String>,
+    private val total: Double,
     private val leaseMillis: Long,
     startMillis: Long
 ) {
@@ -67,7 +69,7 @@
         val dealt = holdings.mapValues { HashMap<String, Double>() }
         for (account in accounts) {
             val targets = targets(account)
-            var free = 1.0 - reserved(account, nowMillis) - holdings.values.sumOf { it.most(account) }
+            var free = total - reserved(account, nowMillis) - holdings.values.sumOf { it.most(account) }
             for ((instance, holding) in holdings) {
                 if (instance !in mayHold) continue
                 val most = holding.most(account)
@@ -81,18 +83,18 @@
     }
 
     private fun targets(account: String): Map<String, Double> {
-        val total = holdings.values.sumOf { it.demand[account] ?: 0.0 }
+        val wanted = holdings.values.sumOf { it.demand[account] ?: 0.0 }
         return holdings.mapValues { (_, holding) ->
-            val even = 1.0 / holdings.size
-            if (total <= 0.0) return@mapValues even
-            val byDemand = (holding.demand[account] ?: 0.0) / total
+            val even = total / holdings.size
+            if (wanted <= 0.0) return@mapValues even
+            val byDemand = total * (holding.demand[account] ?: 0.0) / wanted
             EVEN_PART * even + (1 - EVEN_PART) * byDemand
         }
     }
 
     private fun reserved(account: String, nowMillis: Long): Double {
         if (unresolved.isEmpty() || nowMillis >= unresolvedUntilMillis) return 0.0
-        return (1.0 - holdings.values.sumOf { it.inherited[account] ?: 0.0 }).coerceAtLeast(0.0)
+        return (total - holdings.values.sumOf { it.inherited[account] ?: 0.0 }).coerceAtLeast(0.0)
     }
 
     private fun forget(nowMillis: Long) {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -42,6 +42,7 @@
 import mustarddale.instance.serving.steward.MemberDuty
 import mustarddale.instance.serving.steward.StewardDuty
 import mustarddale.instance.serving.steward.StewardLink
+import mustarddale.instance.serving.steward.TokenLoans
 import mustarddale.serving.backend.BackendChoice
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.time.Clock
@@ -103,7 +104,8 @@
         clock
     )
     private val member = MemberDuty(state, self.instance, self.run, clock)
-    private val link = StewardLink(self, leadership, member, steward, dispatcher)
+    private val loans = TokenLoans(clock)
+    private val link = StewardLink(self, leadership, member, steward, loans, dispatcher)
     private val forwarder = Forwarder(
         state,
         BackendChoice(random),
@@ -117,6 +119,7 @@
         platform.protocol,
         Admission(state),
         forwarder,
+        loans,
         clock,
         ::closeIfLeaving
     )
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
@@ -17,13 +17,18 @@
 
 /** Admits requests by the beliefs in [state]. */
 public class Admission(private val state: ServingState) {
-    /** Admits the request that arrived at [arrivedAtMillis] and was read by [nowMillis]. */
+    /**
+     * Admits the request that arrived at [arrivedAtMillis] and was read by [nowMillis].
+     *
+     * @param arePaid whether its tokens were taken elsewhere already.
+     */
     public fun admit(
         head: CallerHead,
         headers: RequestHeaders,
         body: HttpData,
         arrivedAtMillis: Long,
-        nowMillis: Long
+        nowMillis: Long,
+        arePaid: Boolean = false
     ): Outcome<Admitted> {
         val configuration = state.configuration
             ?: return failure(
@@ -39,7 +44,7 @@
             return failure(kind, "no client account holds the key")
         }
         val tokens = tokensOf(head, account)
-        if (account != null && !state.quota.tryTake(account, tokens, nowMillis)) {
+        if (account != null && !arePaid && !state.quota.tryTake(account, tokens, nowMillis)) {
             return rateExceeded(account, tokens, nowMillis)
         }
         return Outcome.Success(
@@ -47,13 +52,12 @@
         )
     }
 
-    /** Returns when tokens for a request refused as [outcome] will be there; null if it was not. */
-    public fun waitMillis(outcome: Outcome<Admitted>): Long? {
-        val refusal = (outcome as? Outcome.Failure)?.refusal ?: return null
-        return refusal.retryAfterMillis.takeIf { refusal.kind == ErrorKind.RATE_EXCEEDED }
-    }
+    /** Returns the account of [head], null if its key belongs to none. */
+    public fun accountOf(head: CallerHead): ServedAccount? =
+        head.key?.let { state.configuration?.accountOf(it) }
 
-    private fun tokensOf(head: CallerHead, account: ServedAccount?): Double =
+    /** Returns what a request counts against the rate of [account]. */
+    public fun tokensOf(head: CallerHead, account: ServedAccount?): Double =
         head.tokens ?: account?.tokensWithoutCount ?: 0.0
 
     private fun rateExceeded(
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -26,6 +26,7 @@
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.protocol.CallerHead
 import mustarddale.instance.serving.protocol.ServingProtocol
+import mustarddale.instance.serving.steward.TokenLoans
 import mustarddale.time.Clock
 
 /** Serves callers; runs in [scope], whose dispatcher is the event loop. */
@@ -34,6 +35,7 @@
     private val protocol: ServingProtocol,
     private val admission: Admission,
     private val forwarder: Forwarder,
+    private val loans: TokenLoans,
     private val clock: Clock,
     private val onRequest: (ServiceRequestContext) -> Unit
 ) : HttpService {
@@ -110,19 +112,31 @@
         }
     }
 
-    /** Admits a request, and waits for its tokens if they are there soon enough. */
+    /** Admits a request, with tokens from the leader or a little later if the share is short. */
     private suspend fun admit(
         head: CallerHead,
         req: HttpRequest,
         body: HttpData,
         arrivedAtMillis: Long
     ): Outcome<Admitted> {
+        var arePaid = false
         while (true) {
             val nowMillis = clock.monotonicMillis()
-            val admitted = admission.admit(head, req.headers(), body, arrivedAtMillis, nowMillis)
-            val waitMillis = admission.waitMillis(admitted) ?: return admitted
-            val leftMillis = arrivedAtMillis + MAX_TOKEN_WAIT_MILLIS - nowMillis
-            if (waitMillis > leftMillis) return admitted
+            val admitted =
+                admission.admit(head, req.headers(), body, arrivedAtMillis, nowMillis, arePaid)
+            val refusal = (admitted as? Outcome.Failure)?.refusal
+            if (refusal?.kind != ErrorKind.RATE_EXCEEDED) return admitted
+            val account = admission.accountOf(head) ?: return admitted
+            val lentAfter = loans.borrow(account.name, admission.tokensOf(head, account))
+            if (lentAfter == 0L) {
+                arePaid = true
+                continue
+            }
+            val waitMillis = minOf(refusal.retryAfterMillis ?: 0, lentAfter ?: Long.MAX_VALUE)
+            val leftMillis = arrivedAtMillis + MAX_TOKEN_WAIT_MILLIS - clock.monotonicMillis()
+            if (waitMillis > leftMillis) {
+                return Outcome.Failure(refusal.copy(retryAfterMillis = waitMillis))
+            }
             delay(waitMillis.coerceAtLeast(1))
         }
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -35,7 +35,10 @@
 
     /** What client accounts may use here. */
     public val quota: AccountQuota =
-        AccountQuota { settings.quotaSlackTokens * SLACK_PART }
+        AccountQuota { extraQuotaTokens }
+
+    /** What each account may use beyond its burst, over the fleet. */
+    public val extraQuotaTokens: Double get() = settings.quotaSlackTokens * SLACK_PART
 
     /** Models by engine as the leader orders them. */
     public val residency: ResidencyView = ResidencyView()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
@@ -15,6 +15,7 @@
 import mustarddale.serving.backend.WantedModel
 import mustarddale.serving.config.EngineSpec
 import mustarddale.serving.leadership.LeaderRecord
+import mustarddale.serving.quota.AccountQuota
 import mustarddale.serving.quota.Deal
 import mustarddale.serving.quota.ShareLedger
 import mustarddale.serving.quota.ShareReport
@@ -71,6 +72,10 @@
         seenVersion: Long
     ): StewardMessage.State? = current()?.stateFor(instance, answers, seenVersion)
 
+    /** Takes tokens out of the pool; null if this instance does not lead. */
+    public fun lend(wanted: StewardMessage.TokensWanted): StewardMessage.TokensGiven? =
+        current()?.lend(wanted)
+
     private fun current(): Reign? {
         val term = leadership.ownTerm()
         return reign?.takeIf { it.term == term }
@@ -104,7 +109,9 @@
         lateinit var job: Job
             private set
 
-        private val ledger = ShareLedger(recordedHolders, SHARE_LEASE_MILLIS, won.sinceMillis)
+        private val pool = AccountQuota { state.extraQuotaTokens }
+        private val ledger =
+            ShareLedger(recordedHolders, 1 - POOL_PART, SHARE_LEASE_MILLIS, won.sinceMillis)
         private val services = HashMap<String, ServicePlan>()
         private val versions = HashMap<String, Long>()
         private val contents = HashMap<String, EngineContents>()
@@ -136,6 +143,17 @@
             if (isUrgent) planOrders(nowMillis)
         }
 
+        fun lend(wanted: StewardMessage.TokensWanted): StewardMessage.TokensGiven {
+            val nowMillis = clock.monotonicMillis()
+            val account = state.configuration?.accounts?.get(wanted.account)
+            val waitMillis = when {
+                account == null -> UNKNOWN_ACCOUNT_WAIT_MILLIS
+                pool.tryTake(account, wanted.tokens, nowMillis) -> 0
+                else -> pool.waitMillis(account, wanted.tokens, nowMillis).coerceAtLeast(1)
+            }
+            return StewardMessage.TokensGiven(wanted.number, waitMillis)
+        }
+
         private fun shareReport(report: StewardMessage.Report) = ShareReport(
             report.instance,
             report.run,
@@ -163,6 +181,8 @@
                 dealtAtMillis = nowMillis
                 val accounts = state.configuration?.accounts?.keys.orEmpty()
                 deals = ledger.deal(accounts, recordedHolders, nowMillis)
+                val all = state.configuration?.accounts?.values.orEmpty()
+                pool.setShares(accounts.associateWith { POOL_PART }, all, nowMillis)
             }
             state.configuration?.services?.values?.filter { it.engine != null }?.forEach {
                 refresh(checkNotNull(planOf(it.name)))
@@ -310,6 +330,12 @@
         /** Demand of an instance is told four times a second. */
         const val DEAL_MILLIS = 250L
 
+        /** Kept by the leader for instances whose requests come in clumps. */
+        const val POOL_PART = 0.5
+
+        /** The instance that asks knows a newer configuration, or an older one. */
+        const val UNKNOWN_ACCOUNT_WAIT_MILLIS = 200L
+
         /** Outlasts an outage of the log of nine seconds, as the sites list them. */
         const val SHARE_LEASE_MILLIS = 10_000L
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
@@ -11,6 +11,7 @@
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
@@ -37,16 +38,20 @@
     private val leadership: LeadershipDuty,
     private val member: MemberDuty,
     private val steward: StewardDuty,
+    private val loans: TokenLoans,
     eventLoop: CoroutineDispatcher
 ) : AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
     private val scope = CoroutineScope(SupervisorJob() + eventLoop)
     private val codec = FrameCodec(StewardMessage.serializer())
     private val urgent = Channel<Unit>(Channel.CONFLATED)
+    private val asks = ArrayDeque<StewardMessage.TokensWanted>()
+    private var isConnected = false
     private val changed = LinkedHashSet<Channel<Unit>>()
 
     /** Listens for instances and connects to the leader. */
     public fun start() {
+        loans.send = ::ask
         scope.launch { listen() }
         scope.launch { follow() }
     }
@@ -66,6 +71,18 @@
         selector.close()
     }
 
+    private fun ask(wanted: StewardMessage.TokensWanted): Boolean {
+        val given = steward.lend(wanted)
+        if (given != null) {
+            loans.answered(given)
+            return true
+        }
+        if (!isConnected || asks.size >= MAX_ASKS) return false
+        asks.addLast(wanted)
+        urgent.trySend(Unit)
+        return true
+    }
+
     private suspend fun listen() {
         val address = InetSocketAddress(self.host, self.port)
         val listener = aSocket(selector).tcp().bind(address) { reuseAddress = true }
@@ -116,6 +133,7 @@
             return
         }
         guarded(socket, leader.instance) { reportTo(socket) }
+        isConnected = false
         suspectLeader()
     }
 
@@ -131,12 +149,9 @@
     private suspend fun reportTo(socket: Socket): Unit = coroutineScope {
         val output = socket.openWriteChannel(autoFlush = false)
         val input = socket.openReadChannel()
-        launch {
-            while (true) {
-                codec.write(output, member.report())
-                withTimeoutOrNull(REPORT_MILLIS) { urgent.receive() }
-            }
-        }
+        asks.clear()
+        launch { writeReports(output) }
+        isConnected = true
         while (true) {
             when (val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }) {
                 is StewardMessage.State -> {
@@ -144,23 +159,34 @@
                     member.apply(message)
                 }
 
+                is StewardMessage.TokensGiven -> loans.answered(message)
                 is StewardMessage.NotLeading -> throw IOException("the other end does not lead")
-                is StewardMessage.Report -> throw IOException("a report from the leader")
+                else -> throw IOException("$message from the leader")
             }
         }
     }
 
+    private suspend fun writeReports(output: ByteWriteChannel) {
+        while (true) {
+            while (asks.isNotEmpty()) codec.write(output, asks.removeFirst())
+            codec.write(output, member.report())
+            withTimeoutOrNull(REPORT_MILLIS) { urgent.receive() }
+        }
+    }
+
     private suspend fun serve(socket: Socket): Unit = coroutineScope {
         val output = socket.openWriteChannel(autoFlush = false)
         val input = socket.openReadChannel()
         val signal = Channel<Unit>(Channel.CONFLATED)
         var lastReport: StewardMessage.Report? = null
+        val answers = ArrayDeque<StewardMessage>()
         changed.add(signal)
         try {
             launch {
                 var seenVersion = 0L
                 while (true) {
                     signal.receive()
+                    while (answers.isNotEmpty()) codec.write(output, answers.removeFirst())
                     val report = lastReport ?: continue
                     val state = steward.stateFor(report.instance, report.number, seenVersion)
                     if (state != null) seenVersion = steward.contentsVersion
@@ -168,10 +194,17 @@
                 }
             }
             while (true) {
-                val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }
-                if (message !is StewardMessage.Report) throw IOException("not a report")
-                steward.report(message)
-                lastReport = message
+                when (val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }) {
+                    is StewardMessage.Report -> {
+                        steward.report(message)
+                        lastReport = message
+                    }
+
+                    is StewardMessage.TokensWanted ->
+                        answers.addLast(steward.lend(message) ?: StewardMessage.NotLeading)
+
+                    else -> throw IOException("$message from an instance")
+                }
                 signal.trySend(Unit)
             }
         } finally {
@@ -205,6 +238,9 @@
         /** Instances are a few milliseconds apart. */
         const val CONNECT_TIMEOUT_MILLIS = 400L
 
+        /** Bounds what waits while the connection is slow; more requests are refused. */
+        const val MAX_ASKS = 256
+
         /** An election takes several times as long, and each try reads the log once. */
         const val RECONNECT_MILLIS = 400L
         const val LEADER_CHECK_MILLIS = 20L
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardMessage.kt
@@ -49,6 +49,21 @@
         public val engines: List<EngineContents>
     ) : StewardMessage
 
+    /** An instance asks for [tokens] of [account] out of the leader's pool. */
+    @Serializable
+    @SerialName("tokens-wanted")
+    public data class TokensWanted(
+        public val number: Long,
+        public val account: String,
+        public val tokens: Double
+    ) : StewardMessage
+
+    /** The tokens are given if [waitMillis] is 0, else they may be there after that. */
+    @Serializable
+    @SerialName("tokens-given")
+    public data class TokensGiven(public val number: Long, public val waitMillis: Long) :
+        StewardMessage
+
     /** The other end does not lead. */
     @Serializable
     @SerialName("not-leading")
