--- a/core/src/main/kotlin/mustarddale/serving/quota/AccountQuota.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/AccountQuota.kt
@@ -48,7 +48,8 @@
         wantedTokens.merge(account.name, tokens, Double::plus)
         val bucket = bucketOf(account, nowMillis) ?: return true
         val isAllowed = bucket.level > 0 && bucket.level >= minOf(tokens, bucket.capacityTokens)
-        buckets[account.name] = if (isAllowed) bucket.copy(level = bucket.level - tokens) else bucket
+        buckets[account.name] =
+            if (isAllowed) bucket.copy(level = bucket.level - tokens) else bucket
         return isAllowed
     }
 
--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
@@ -69,11 +69,16 @@
         val dealt = holdings.mapValues { HashMap<String, Double>() }
         for (account in accounts) {
             val targets = targets(account)
-            var free = total - reserved(account, nowMillis) - holdings.values.sumOf { it.most(account) }
+            var free =
+                total - reserved(account, nowMillis) - holdings.values.sumOf { it.most(account) }
             for ((instance, holding) in holdings) {
                 if (instance !in mayHold) continue
                 val most = holding.most(account)
-                val raise = (targets.getValue(instance) - most).coerceIn(0.0, free.coerceAtLeast(0.0))
+                val raise = (
+                    targets.getValue(
+                        instance
+                    ) - most
+                    ).coerceIn(0.0, free.coerceAtLeast(0.0))
                 free -= raise
                 val share = minOf(targets.getValue(instance), most + raise)
                 if (share > 0) dealt.getValue(instance)[account] = share
@@ -98,7 +103,9 @@
     }
 
     private fun forget(nowMillis: Long) {
-        holdings.values.removeIf { nowMillis - it.heardAtMillis > leaseMillis + LEASE_MARGIN_MILLIS }
+        holdings.values.removeIf {
+            nowMillis - it.heardAtMillis > leaseMillis + LEASE_MARGIN_MILLIS
+        }
         if (nowMillis >= unresolvedUntilMillis) unresolved.clear()
     }
 
@@ -115,8 +122,7 @@
         var heardAtMillis = 0L
         val demand = HashMap<String, Double>()
 
-        fun most(account: String): Double =
-            maxOf(held[account] ?: 0.0, sent.shares[account] ?: 0.0)
+        fun most(account: String): Double = maxOf(held[account] ?: 0.0, sent.shares[account] ?: 0.0)
 
         fun deal(shares: Map<String, Double>): Deal {
             if (shares == sent.shares && sent.revision > 0) return sent
--- a/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
@@ -134,7 +134,9 @@
         when (answer) {
             OrderAnswer.ACCEPTED -> accepted(order, nowMillis)
 
-            OrderAnswer.DONE -> if (order.wanted.adapter != null && order.kind == OrderKind.UNLOAD) {
+            OrderAnswer.DONE -> if (order.wanted.adapter != null &&
+                order.kind == OrderKind.UNLOAD
+            ) {
                 orderCount = order.orderCount + 1
             } else {
                 forgetCount(nowMillis)
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/serving/config/RouteTableTest.kt
@@ -0,0 +1,41 @@
+package mustarddale.serving.config
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlinx.collections.immutable.toImmutableList
+
+class RouteTableTest {
+    private fun route(name: String, prefix: String, vararg services: WeightedService) = ServedRoute(
+        name, "h.example", prefix, services.toList().toImmutableList(), Repeatability.ONCE,
+        isStream = false, timeoutMillis = 1, targetMillis = 1, maxGapMillis = null, priority = 0,
+        maxAttempts = 1, isOpenToAll = false
+    )
+
+    private val table = RouteTable(
+        listOf(route("root", "/"), route("short", "/a/"), route("long", "/a/b/"))
+    )
+
+    private data class Case(val host: String, val path: String, val expected: String?)
+
+    @Test
+    fun `the longest prefix of the host wins`() {
+        listOf(
+            Case("h.example", "/a/b/c", "long"),
+            Case("h.example", "/a/b", "short"),
+            Case("h.example", "/a/bc/", "short"),
+            Case("H.Example", "/a/", "short"),
+            Case("h.example", "/other", "root"),
+            Case("other.example", "/a/", null)
+        ).forEach { case ->
+            assertEquals(case.expected, table.find(case.host, case.path)?.name, case.toString())
+        }
+    }
+
+    @Test
+    fun `split routes follow their weights`() {
+        val split = route("s", "/", WeightedService("x", 90), WeightedService("y", 10))
+        val part = (0 until 2_000).count { table.serviceFor(split, "request-$it") == "y" } / 2_000.0
+        assertTrue(part in 0.07..0.13, "$part")
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/serving/leadership/LeaderElectionTest.kt
@@ -0,0 +1,143 @@
+package mustarddale.serving.leadership
+
+import java.util.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.LongRange
+
+class LeaderElectionTest {
+    private val times = ElectionTimes(leaseMillis = 2_000, renewalMillis = 650, driftMillis = 100)
+
+    /** The leadership log: appends may be lost, or may land late. */
+    private class Log {
+        val records = ArrayList<LoggedLeader>()
+
+        fun append(at: Long, record: LeaderRecord): Boolean {
+            if (at != records.size.toLong()) return false
+            records.add(LoggedLeader(at, record))
+            return true
+        }
+    }
+
+    private inner class Node(val name: String, var run: Int = 0) {
+        var election = newElection()
+        var awakeAtMillis = 0L
+
+        private fun newElection() = LeaderElection(name, "$name-$run", times)
+
+        fun restart() {
+            run++
+            election = newElection()
+        }
+
+        fun record(term: Long) = LeaderRecord(name, "$name-$run", "host", 1, term)
+
+        /** One step; returns an append that is still on its way. */
+        fun step(log: Log, nowMillis: Long, random: Random): (() -> Unit)? {
+            when (val step = election.next(nowMillis)) {
+                is ElectionStep.Wait -> Unit
+
+                is ElectionStep.Read -> election.observe(
+                    log.records.drop(step.offset.toInt()),
+                    log.records.size.toLong(),
+                    nowMillis
+                )
+
+                is ElectionStep.Append -> {
+                    val record = record(step.term)
+                    election.sending(record, nowMillis)
+                    when (random.nextInt(10)) {
+                        0 -> election.appendFailed()
+
+                        1 -> {
+                            election.appendFailed()
+                            return { log.append(step.offset, record) }
+                        }
+
+                        else -> if (log.append(step.offset, record)) {
+                            election.appended(record, step.offset, nowMillis)
+                        } else {
+                            election.appendFailed()
+                        }
+                    }
+                }
+            }
+            return null
+        }
+    }
+
+    @Property(seed = "20261204", tries = 300)
+    fun `two instances never lead at once, and somebody leads in the end`(
+        @ForAll @LongRange(min = 0, max = 1_000_000) seed: Long
+    ) {
+        val random = Random(seed)
+        val log = Log()
+        val nodes = List(4) { Node("node-$it") }
+        val late = ArrayList<Pair<Long, () -> Unit>>()
+        for (nowMillis in 0L..40_000L step 50) {
+            late.filter { it.first <= nowMillis }.forEach { it.second() }
+            late.removeIf { it.first <= nowMillis }
+            val isCalm = nowMillis > 30_000
+            nodes.forEach { node ->
+                if (!isCalm && random.nextInt(400) == 0) node.awakeAtMillis = nowMillis + 5_000
+                if (!isCalm && random.nextInt(600) == 0) node.restart()
+                if (nowMillis < node.awakeAtMillis) return@forEach
+                node.step(log, nowMillis, random)?.let { late.add(nowMillis + 3_000 to it) }
+            }
+            val leaders = nodes.filter { it.election.ownTerm(nowMillis) != null }
+            assertTrue(leaders.size <= 1, "at $nowMillis ms: ${leaders.map { it.name }}")
+        }
+        assertEquals(1, nodes.count { it.election.ownTerm(40_000) != null })
+        val terms = log.records.map { it.term }
+        assertEquals(terms.sorted(), terms)
+    }
+
+    private data class Case(
+        val name: String,
+        val last: LeaderRecord?,
+        val nowMillis: Long,
+        val expected: ElectionStep
+    )
+
+    @Test
+    fun `when an instance takes the leadership`() {
+        val other = LeaderRecord("b", "b-1", "h", 1)
+        val cases = listOf(
+            Case("an empty log is free", null, 0, ElectionStep.Append(0, -1)),
+            Case("a silent leader is left its lease", other, 2_099, ElectionStep.Wait(2_100)),
+            Case("then the log is read once more", other, 2_100, ElectionStep.Read(1)),
+            Case(
+                "one that resigned is followed at once",
+                other.copy(isResigning = true),
+                0,
+                ElectionStep.Append(1, -1)
+            ),
+            Case(
+                "an earlier process of this instance is gone",
+                other.copy(instance = "a", run = "a-0"),
+                0,
+                ElectionStep.Append(1, -1)
+            )
+        )
+        cases.forEach { case ->
+            val election = LeaderElection("a", "a-1", times)
+            val records = listOfNotNull(case.last).map { LoggedLeader(0, it) }
+            election.observe(records, records.size.toLong(), 0)
+            assertEquals(case.expected, election.next(case.nowMillis), case.name)
+        }
+    }
+
+    @Test
+    fun `a renewal seen by the last read starts the wait anew`() {
+        val election = LeaderElection("a", "a-1", times)
+        val leader = LeaderRecord("b", "b-1", "h", 1)
+        election.observe(listOf(LoggedLeader(0, leader)), 1, 0)
+        election.observe(listOf(LoggedLeader(1, leader.copy(term = 0))), 2, 2_100)
+        assertEquals(ElectionStep.Wait(4_200), election.next(2_100))
+        election.observe(emptyList(), 2, 4_200)
+        assertEquals(ElectionStep.Append(2, -1), election.next(4_200))
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/serving/quota/ShareLedgerTest.kt
@@ -0,0 +1,127 @@
+package mustarddale.serving.quota
+
+import java.util.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.LongRange
+
+class ShareLedgerTest {
+    private val leaseMillis = 10_000L
+    private val account = "acme"
+
+    /** An instance that uses the shares it was last dealt until their lease ends. */
+    private class Member(val name: String) {
+        var run = 0
+        var term = 0
+        var connectedTo = 0
+        var revision = 0L
+        var shares = emptyMap<String, Double>()
+        var untilMillis = 0L
+
+        fun inForce(nowMillis: Long) = if (nowMillis < untilMillis) shares else emptyMap()
+
+        fun restart() {
+            run++
+            revision = 0
+            shares = emptyMap()
+        }
+
+        fun report(term: Int, nowMillis: Long, random: Random) = ShareReport(
+            name,
+            "$name-$run",
+            if (this.term == term) revision else 0,
+            inForce(nowMillis),
+            mapOf("acme" to random.nextInt(1_000).toDouble())
+        )
+
+        fun take(term: Int, deal: Deal, askedMillis: Long, leaseMillis: Long) {
+            this.term = term
+            revision = deal.revision
+            shares = deal.shares
+            untilMillis = askedMillis + leaseMillis
+        }
+    }
+
+    @Property(seed = "20261204", tries = 300)
+    fun `shares in force never exceed the total, over lost messages, restarts and new leaders`(
+        @ForAll @LongRange(min = 0, max = 1_000_000) seed: Long
+    ) {
+        val random = Random(seed)
+        val members = List(5) { Member("m$it") }
+        var term = 1
+        var recorded = emptySet<String>()
+        var ledger = ShareLedger(emptyList(), 0.5, leaseMillis, 0)
+        val answers = ArrayList<Triple<Long, Int, () -> Unit>>()
+        for (nowMillis in 0L..60_000L step 100) {
+            if (random.nextInt(80) == 0) {
+                term++
+                ledger = ShareLedger(recorded, 0.5, leaseMillis, nowMillis)
+            }
+            members.forEach { member ->
+                if (random.nextInt(100) == 0) member.restart()
+                if (random.nextInt(4) != 0) return@forEach
+                // An instance has one connection: with a new leader's the old one's answers end.
+                member.connectedTo = term
+                ledger.report(member.report(term, nowMillis, random), nowMillis)
+                recorded = ledger.holders
+                val deal = ledger.deal(listOf(account), recorded, nowMillis)[member.name]
+                if (deal == null || random.nextInt(5) == 0) return@forEach
+                val run = member.run
+                val sentTerm = term
+                answers.add(
+                    Triple(nowMillis + random.nextInt(300), term) {
+                        val isCurrent = member.run == run && sentTerm == member.connectedTo
+                        val isNewer = sentTerm > member.term || deal.revision >= member.revision
+                        if (isCurrent && isNewer) {
+                            member.take(sentTerm, deal, nowMillis, leaseMillis)
+                        }
+                    }
+                )
+            }
+            answers.filter { it.first <= nowMillis }.forEach { it.third() }
+            answers.removeIf { it.first <= nowMillis }
+            val sum = members.sumOf { it.inForce(nowMillis)[account] ?: 0.0 }
+            assertTrue(sum <= 0.5 + 1e-9, "at $nowMillis ms the shares add up to $sum")
+        }
+    }
+
+    private fun report(name: String, wanted: Double, confirmed: Long = 0) =
+        ShareReport(name, "$name-1", confirmed, emptyMap(), mapOf(account to wanted))
+
+    @Test
+    fun `shares follow demand once smaller ones are confirmed`() {
+        val ledger = ShareLedger(emptyList(), 1.0, leaseMillis, 0)
+        val both = setOf("a", "b")
+        ledger.report(report("a", 0.0), 0)
+        ledger.report(report("b", 0.0), 0)
+        val first = ledger.deal(listOf(account), both, 0)
+        assertEquals(0.5, first.getValue("a").shares.getValue(account))
+        ledger.report(report("a", 1_000.0, first.getValue("a").revision), 100)
+        ledger.report(report("b", 0.0, first.getValue("b").revision), 100)
+        val second = ledger.deal(listOf(account), both, 100)
+        assertEquals(0.5, second.getValue("a").shares.getValue(account), "b may still use its half")
+        ledger.report(report("b", 0.0, second.getValue("b").revision), 200)
+        val third = ledger.deal(listOf(account), both, 200)
+        assertTrue(third.getValue("a").shares.getValue(account) > 0.8)
+    }
+
+    @Test
+    fun `a new leader leaves what unknown instances may hold until their leases end`() {
+        val ledger = ShareLedger(listOf("gone"), 1.0, leaseMillis, startMillis = 0)
+        ledger.report(report("a", 10.0), 0)
+        assertEquals(emptyMap(), ledger.deal(listOf(account), setOf("a"), 0).getValue("a").shares)
+        ledger.report(report("a", 10.0), leaseMillis)
+        val deal = ledger.deal(listOf(account), setOf("a"), leaseMillis).getValue("a")
+        assertEquals(1.0, deal.shares.getValue(account), 1e-9)
+    }
+
+    @Test
+    fun `nothing is dealt to an instance that a successor would not know of`() {
+        val ledger = ShareLedger(emptyList(), 1.0, leaseMillis, 0)
+        ledger.report(report("a", 10.0), 0)
+        assertEquals(emptyMap(), ledger.deal(listOf(account), emptySet(), 0).getValue("a").shares)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/serving/retry/RetryBudgetTest.kt
@@ -0,0 +1,31 @@
+package mustarddale.serving.retry
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class RetryBudgetTest {
+    private data class Case(
+        val name: String,
+        val requests: Int,
+        val instances: Int,
+        val atMillis: Long,
+        val expected: Int
+    )
+
+    @Test
+    fun `how many retries one instance allows`() {
+        val cases = listOf(
+            Case("its part of the allowance", 0, 8, 0, 5),
+            Case("a fifth of its requests more", 100, 8, 0, 21),
+            Case("nothing for requests of an earlier window", 100, 8, 10_001, 5),
+            Case("little among many instances", 0, 80, 0, 0)
+        )
+        cases.forEach { case ->
+            val budget = RetryBudget(RetryLimits(10_000, 0.2, 56.0))
+            repeat(case.requests) { budget.requested(0) }
+            var allowed = 0
+            while (budget.tryRetry(case.instances, case.atMillis)) allowed++
+            assertEquals(case.expected, allowed, case.name)
+        }
+    }
+}
