--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
@@ -1,7 +1,7 @@
 /*
- * What one instance knows of a backend server's load and health. It combines its own requests, known
- * without delay, with the totals that the server tells with its answers, and with how the server's
- * answers ended.
+ * What one instance knows of a backend server's load and health. It combines its own requests,
+ * known without delay, with the totals that the server tells with its answers, and with how the
+ * server's answers ended.
  */
 package mustarddale.serving.backend
 
--- a/core/src/main/kotlin/mustarddale/serving/config/RouteTable.kt
+++ b/core/src/main/kotlin/mustarddale/serving/config/RouteTable.kt
@@ -7,7 +7,9 @@
     private val byHost = routes.groupBy { it.host.lowercase() }
         .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
 
-    /** Returns the route of [host] with the longest prefix that begins [path], null if none does. */
+    /**
+     * Returns the route of [host] with the longest prefix that begins [path], null if none does.
+     */
     public fun find(host: String, path: String): ServedRoute? =
         byHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
 
--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
@@ -1,8 +1,8 @@
 /*
  * Elects one leader among equal instances through conditional appends to one partition of the
  * platform's log. The offset of the first record of a leadership is its term and the fencing token
- * of its orders. The leader counts its lease from before it sent a record, the others from when they
- * read it, so two leases never overlap; an append that lands late fails its condition.
+ * of its orders. The leader counts its lease from before it sent a record, the others from when
+ * they read it, so two leases never overlap; an append that lands late fails its condition.
  */
 package mustarddale.serving.leadership
 
@@ -28,7 +28,9 @@
     /** Read the leadership log from [offset] on. */
     public data class Read(public val offset: Long) : ElectionStep
 
-    /** Append a record of this instance if the log still ends at [offset]; [term] as in the record. */
+    /**
+     * Append a record of this instance if the log still ends at [offset]; [term] as in the record.
+     */
     public data class Append(public val offset: Long, public val term: Long) : ElectionStep
 }
 
@@ -122,6 +124,10 @@
             if (nowMillis < renewAtMillis) return ElectionStep.Wait(renewAtMillis)
             return ElectionStep.Append(end, term)
         }
+        return nextWithoutTerm(end, nowMillis)
+    }
+
+    private fun nextWithoutTerm(end: Long, nowMillis: Long): ElectionStep {
         val last = newest?.record
         val isVacant = last == null || last.isResigning || last.instance == instance
         if (!isVacant) {
--- a/core/src/main/kotlin/mustarddale/serving/quota/AccountQuota.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/AccountQuota.kt
@@ -1,7 +1,7 @@
 /*
- * The tokens that client accounts may use at this instance. The fleet's rate and burst of an account
- * are divided into shares; each instance fills buckets by its own share only, so the sum over the
- * fleet is right whatever instances believe about each other.
+ * The tokens that client accounts may use at this instance. The fleet's rate and burst of an
+ * account are divided into shares; each instance fills buckets by its own share only, so the sum
+ * over the fleet is right whatever instances believe about each other.
  */
 package mustarddale.serving.quota
 
--- a/core/src/main/kotlin/mustarddale/serving/residency/AdapterPlanner.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/AdapterPlanner.kt
@@ -1,6 +1,6 @@
 /*
- * Decides which engine holds which adapter. Adapters load within milliseconds but have few places, so
- * they are loaded when a request waits for one, in place of the one unused for longest.
+ * Decides which engine holds which adapter. Adapters load within milliseconds but have few places,
+ * so they are loaded when a request waits for one, in place of the one unused for longest.
  */
 package mustarddale.serving.residency
 
--- a/core/src/main/kotlin/mustarddale/serving/retry/RetryBudget.kt
+++ b/core/src/main/kotlin/mustarddale/serving/retry/RetryBudget.kt
@@ -1,13 +1,14 @@
 /*
- * Bounds the requests that are sent to a second backend server, so that failures do not multiply the
- * load. Each instance spends a part of its own requests and its share of the fleet's fixed allowance,
- * so the sum over the fleet stays within the budget whatever instances know of each other.
+ * Bounds the requests that are sent to a second backend server, so that failures do not multiply
+ * the load. Each instance spends a part of its own requests and its share of the fleet's fixed
+ * allowance, so the sum over the fleet stays within the budget whatever instances know of each
+ * other.
  */
 package mustarddale.serving.retry
 
 /**
- * The budget of a service: over [windowMillis], [ratio] of its requests and [allowance] more, for the
- * whole fleet.
+ * The budget of a service: over [windowMillis], [ratio] of its requests and [allowance] more, for
+ * the whole fleet.
  */
 public data class RetryLimits(
     public val windowMillis: Long,
--- a/core/src/test/kotlin/mustarddale/serving/backend/BackendChoiceTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/backend/BackendChoiceTest.kt
@@ -68,7 +68,15 @@
                 ),
                 model,
                 "Full"
-            ),
+            )
+        )
+        check(cases)
+    }
+
+    @Test
+    fun `which server is doubted`() {
+        val model = WantedModel("m")
+        val cases = listOf(
             Case(
                 "one that lost requests is avoided",
                 listOf(candidate("x") { lose(2) }, candidate("y") { send(9) }),
@@ -97,6 +105,10 @@
                 "y"
             )
         )
+        check(cases)
+    }
+
+    private fun check(cases: List<Case>) {
         cases.forEach { case ->
             val made = choice.choose(case.candidates, case.wanted, emptySet(), "a", nowMillis)
             val name = if (made is Choice.Chosen) made.backend.id else made.toString()
--- a/instance/src/main/kotlin/mustarddale/instance/peer/PeerMesh.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/peer/PeerMesh.kt
@@ -40,6 +40,7 @@
 ) : AutoCloseable {
     private val thread = Executors.newSingleThreadExecutor { Thread(it, "peers").asDaemon() }
     private val dispatcher = thread.asCoroutineDispatcher()
+
     // A selector blocks its thread while it waits, so it must not share the coroutines' thread.
     private val selector = SelectorManager(Dispatchers.IO)
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -1,7 +1,7 @@
 /*
- * One serving instance: wires its parts together, tells when it is ready, and leaves without cutting
- * a request. One event loop owns all decisions and all HTTP; instances have one core, so more threads
- * would only take turns.
+ * One serving instance: wires its parts together, tells when it is ready, and leaves without
+ * cutting a request. One event loop owns all decisions and all HTTP; instances have one core, so
+ * more threads would only take turns.
  */
 package mustarddale.instance.serving
 
@@ -133,18 +133,21 @@
         .maxRequestLength(MAX_REQUEST_BYTES)
         .idleTimeoutMillis(CALLER_IDLE_MILLIS)
         .gracefulShutdownTimeoutMillis(0, 0)
-        .service("prefix:/", HttpService { ctx, req ->
-            when (ctx.localAddress().port) {
-                settings.readyPort -> ready()
-                settings.metricsPort -> HttpResponse.of(
-                    HttpStatus.OK,
-                    MediaType.PLAIN_TEXT_UTF_8,
-                    metrics.scrape()
-                )
-
-                else -> callers.serve(ctx, req)
+        .service(
+            "prefix:/",
+            HttpService { ctx, req ->
+                when (ctx.localAddress().port) {
+                    settings.readyPort -> ready()
+                    settings.metricsPort -> HttpResponse.of(
+                        HttpStatus.OK,
+                        MediaType.PLAIN_TEXT_UTF_8,
+                        metrics.scrape()
+                    )
+
+                    else -> callers.serve(ctx, req)
+                }
             }
-        })
+        )
         .build()
 
     /** The requests of callers that have no final answer yet. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/feed/TopicLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/feed/TopicLog.kt
@@ -12,10 +12,8 @@
 /** The outcome of a read of a partition. */
 public sealed interface TopicRead {
     /** Records in offset order; [endOffset] is where the partition ended. */
-    public data class Records(
-        public val records: List<TopicRecord>,
-        public val endOffset: Long
-    ) : TopicRead
+    public data class Records(public val records: List<TopicRecord>, public val endOffset: Long) :
+        TopicRead
 
     /** The offset has aged out; the partition now starts at [firstOffset]. */
     public data class AgedOut(public val firstOffset: Long) : TopicRead
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
@@ -1,6 +1,6 @@
 /*
- * Decides whether a request may be sent at all: the instance must know a configuration, the path must
- * have a route, the key an account, and the account tokens left.
+ * Decides whether a request may be sent at all: the instance must know a configuration, the path
+ * must have a route, the key an account, and the account tokens left.
  */
 package mustarddale.instance.serving.forward
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendExchange.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendExchange.kt
@@ -1,7 +1,7 @@
 /*
- * Sends one request to one backend server and tells how far it came. The distinction that matters is
- * whether the server can have run the request: only a request that was never written, or that the
- * server says it did not run, has not.
+ * Sends one request to one backend server and tells how far it came. The distinction that matters
+ * is whether the server can have run the request: only a request that was never written, or that
+ * the server says it did not run, has not.
  */
 package mustarddale.instance.serving.forward
 
@@ -15,7 +15,6 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.common.SessionProtocol
 import com.linecorp.armeria.common.stream.StreamMessage
-import java.util.concurrent.CompletionException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.future.await
 import mustarddale.instance.serving.protocol.AnswerHead
@@ -64,9 +63,12 @@
         } catch (e: CancellationException) {
             response.abort()
             throw e
+        } catch (e: UnprocessedRequestException) {
+            response.abort()
+            ExchangeStart.NotSent(e.cause.toString())
         } catch (e: Exception) {
             response.abort()
-            failureOf(e)
+            ExchangeStart.Lost(e.toString())
         }
     }
 
@@ -89,15 +91,6 @@
         }
     }
 
-    private fun failureOf(failure: Exception): ExchangeStart {
-        val cause = if (failure is CompletionException) failure.cause ?: failure else failure
-        return if (cause is UnprocessedRequestException) {
-            ExchangeStart.NotSent((cause.cause ?: cause).toString())
-        } else {
-            ExchangeStart.Lost(cause.toString())
-        }
-    }
-
     private fun clientOf(address: BackendAddress): WebClient = clients.getOrPut(address) {
         WebClient.builder(SessionProtocol.H1C, endpointOf(address))
             .factory(factory)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
@@ -1,30 +1,18 @@
 /*
  * Brings one admitted request to a backend server and its answer to the caller. A request that may
- * run only once is sent again only if the server before did not run it. A stream that may be resumed
- * goes on behind the last whole event at another server. Whatever ends an answer early also ends the
- * caller's connection, so that a part never looks like the whole.
+ * run only once is sent again only if the server before did not run it. A stream that may be
+ * resumed goes on behind the last whole event at another server. Whatever ends an answer early also
+ * ends the caller's connection, so that a part never looks like the whole.
  */
 package mustarddale.instance.serving.forward
 
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.ResponseHeaders
-import com.linecorp.armeria.common.stream.StreamMessage
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.reactive.collect
 import kotlinx.coroutines.withTimeoutOrNull
-import mustarddale.error.ErrorKind
 import mustarddale.error.Refusal
-import mustarddale.instance.serving.DecisionLog
-import mustarddale.instance.serving.protocol.Hop
 import mustarddale.instance.serving.protocol.ServingProtocol
-import mustarddale.instance.serving.state.Awaited
 import mustarddale.instance.serving.state.ServingState
-import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendChoice
-import mustarddale.serving.backend.BackendLoad
-import mustarddale.serving.backend.Choice
-import mustarddale.serving.backend.Ending
-import mustarddale.serving.config.Repeatability
 import mustarddale.time.Clock
 
 /** Where an answer goes. */
@@ -50,321 +38,18 @@
 
 /** Forwards requests by the beliefs in [state]. */
 public class Forwarder(
-    private val state: ServingState,
-    private val choice: BackendChoice,
-    private val exchange: BackendExchange,
-    private val protocol: ServingProtocol,
-    private val homeDomain: String,
-    private val clock: Clock
+    internal val state: ServingState,
+    internal val choice: BackendChoice,
+    internal val exchange: BackendExchange,
+    internal val protocol: ServingProtocol,
+    internal val homeDomain: String,
+    internal val clock: Clock
 ) {
     /** Forwards [request] and writes the answer to [writer]. */
     public suspend fun forward(request: Admitted, writer: AnswerWriter) {
-        val run = Run(request, writer)
+        val forwarding = Forwarding(this, request, writer)
         val leftMillis = request.giveUpAtMillis - clock.monotonicMillis()
-        if (leftMillis > 0 && withTimeoutOrNull(leftMillis) { run.run() } != null) return
-        run.timedOut()
-    }
-
-    private inner class Run(val request: Admitted, val writer: AnswerWriter) {
-        private val excluded = HashSet<String>()
-        private var runs = 0
-        private var arrivals = 0
-        private var mayBeRunning = false
-        private var waitedMillis = 0L
-        private var firstMillis = 0L
-        private var events = EventTracker(request.head.lastEventId)
-
-        suspend fun run() {
-            request.head.wanted?.let {
-                state.wanted(Awaited(request.service, it), request.head.outputTokens)
-            }
-            state.budgetOf(request.service).requested(clock.monotonicMillis())
-            while (true) {
-                val backend = choose() ?: return
-                val isDone = attempt(backend)
-                if (isDone) return
-                excluded += backend.id
-            }
-        }
-
-        private suspend fun choose(): Backend? {
-            while (true) {
-                val nowMillis = clock.monotonicMillis()
-                val wanted = request.head.wanted
-                val candidates = state.candidates(request.service, wanted)
-                when (val made = choice.choose(candidates, wanted, excluded, homeDomain, nowMillis)) {
-                    is Choice.Chosen -> {
-                        if (arrivals == 0 || mayRetry(nowMillis)) return made.backend
-                        refuseOrFail("retry budget is used up")
-                        return null
-                    }
-
-                    Choice.NotResident -> if (!awaitModel(nowMillis)) return null
-
-                    Choice.Full -> {
-                        refuseOrFail("all servers with the model are full")
-                        return null
-                    }
-
-                    Choice.NoBackend -> {
-                        refuseOrFail("the service has no server")
-                        return null
-                    }
-                }
-            }
-        }
-
-        private fun mayRetry(nowMillis: Long): Boolean =
-            state.budgetOf(request.service).tryRetry(state.instanceCount, nowMillis)
-
-        private suspend fun awaitModel(nowMillis: Long): Boolean {
-            val awaited = Awaited(request.service, checkNotNull(request.head.wanted))
-            val leftMillis = request.giveUpAtMillis - nowMillis
-            val waitMillis = minOf(MAX_MODEL_WAIT_MILLIS, leftMillis / 2)
-            if (!state.waitingRoom.hasRoom(MAX_WAITING)) {
-                refuseOrFail("too many requests wait for models")
-                return false
-            }
-            state.onUrgentDemand()
-            val isThere = withTimeoutOrNull(waitMillis) { state.waitingRoom.await(awaited) } != null
-            waitedMillis += clock.monotonicMillis() - nowMillis
-            if (isThere) return true
-            refuseOrFail("model ${awaited.wanted} was not loaded within $waitMillis ms")
-            return false
-        }
-
-        /** Sends the request to [backend]; true if the caller has its final answer. */
-        private suspend fun attempt(backend: Backend): Boolean {
-            val load = state.loadOf(backend)
-            val sentMillis = clock.monotonicMillis()
-            load.sent(sentMillis)
-            var ending = Ending.LOST
-            mayBeRunning = true
-            try {
-                val start = exchange.send(backend.address, request.head.requestId, hop(backend), request.body)
-                val nowMillis = clock.monotonicMillis()
-                logStart(backend, start, nowMillis - sentMillis)
-                if (start !is ExchangeStart.NotSent) arrivals++
-                when (start) {
-                    is ExchangeStart.NotSent -> {
-                        mayBeRunning = false
-                        return false
-                    }
-
-                    is ExchangeStart.NotRun -> {
-                        mayBeRunning = false
-                        ending = Ending.REFUSED
-                        start.head.load?.let { load.told(it, nowMillis) }
-                        if (start.isAbsent) notHere(backend)
-                        return false
-                    }
-
-                    is ExchangeStart.Lost -> {
-                        runs++
-                        return endIfNotRepeatable(start.reason)
-                    }
-
-                    is ExchangeStart.Answered -> {
-                        runs++
-                        if (firstMillis == 0L) firstMillis = nowMillis - request.arrivedAtMillis
-                        start.head.load?.let { load.told(it, nowMillis) }
-                        val isFailure = start.headers.status().isServerError
-                        if (isFailure && mayTryAnother(load, nowMillis)) {
-                            start.body.abort()
-                            ending = Ending.FAILED
-                            return false
-                        }
-                        val failure = relay(start)
-                        ending = when {
-                            failure != null -> Ending.LOST
-                            isFailure -> Ending.FAILED
-                            else -> Ending.GOOD
-                        }
-                        if (failure != null) return endIfNotRepeatable(failure)
-                        logEnd("finished", start.headers.status().codeAsText())
-                        return true
-                    }
-                }
-            } catch (e: CancellationException) {
-                ending = Ending.GOOD
-                throw e
-            } finally {
-                load.ended(ending, clock.monotonicMillis())
-            }
-        }
-
-        /**
-         * Whether a failure of an idempotent request is worth another server. Some requests fail
-         * everywhere, so only a server that fails many is doubted.
-         */
-        private fun mayTryAnother(load: BackendLoad, nowMillis: Long): Boolean =
-            load.failureScore(nowMillis) >= DOUBTED_SCORE &&
-                request.route.repeatability == Repeatability.IDEMPOTENT &&
-                runs < request.route.maxAttempts && hasAnother() &&
-                state.budgetOf(request.service).mayRetry(state.instanceCount, clock.monotonicMillis())
-
-        private fun hasAnother(): Boolean =
-            state.candidates(request.service, request.head.wanted).any { it.backend.id !in excluded }
-
-        private fun notHere(backend: Backend) {
-            request.head.wanted?.let { state.notHere(backend, it) }
-        }
-
-        private fun hop(backend: Backend) = protocol.forward(
-            request.headers,
-            Hop(
-                backend = backend,
-                leftMillis = (request.giveUpAtMillis - clock.monotonicMillis()).coerceAtLeast(1),
-                account = request.account?.name,
-                priority = request.priority,
-                lastEventId = events.lastEventId
-            )
-        )
-
-        /** Relays an answer; returns why it broke, null if it is whole. */
-        private suspend fun relay(start: ExchangeStart.Answered): String? {
-            val isResumed = writer.hasBegun
-            val isSuccess = start.headers.status().isSuccess
-            if (isResumed && !isSuccess) return "the resumed stream was answered ${start.headers.status()}"
-            if (!request.route.isStream || !isSuccess) return relayWhole(start)
-            if (!isResumed) writer.head(protocol.answer(start.headers))
-            return relayEvents(start.body)
-        }
-
-        @Suppress("TooGenericExceptionCaught")
-        private suspend fun relayWhole(start: ExchangeStart.Answered): String? {
-            val parts = ArrayList<HttpData>()
-            try {
-                start.body.collect { parts.add(it) }
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
-                return "answer cut: $e"
-            }
-            writer.head(protocol.answer(start.headers))
-            parts.forEach { writer.part(it) }
-            writer.complete()
-            return null
-        }
-
-        @Suppress("TooGenericExceptionCaught")
-        private suspend fun relayEvents(body: StreamMessage<HttpData>): String? {
-            val isResumable = request.route.repeatability == Repeatability.RESUMABLE
-            try {
-                body.collect { data ->
-                    val whole = if (isResumable) events.take(data.array()) else data.array()
-                    if (whole.isNotEmpty()) writer.part(HttpData.wrap(whole))
-                }
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
-                events.dropPart()
-                return "stream cut: $e"
-            }
-            if (events.hasPart) {
-                events.dropPart()
-                return "the stream ended within an event"
-            }
-            writer.complete()
-            return null
-        }
-
-        /** After a loss: false if another server may try, else ends the answer and returns true. */
-        private fun endIfNotRepeatable(reason: String): Boolean {
-            val repeatability = request.route.repeatability
-            val mayContinue = repeatability == Repeatability.RESUMABLE ||
-                repeatability == Repeatability.IDEMPOTENT && !writer.hasBegun
-            if (mayContinue && runs < request.route.maxAttempts) return false
-            failed(reason)
-            return true
-        }
-
-        private fun refuseOrFail(reason: String) {
-            if (runs == 0) refuse(reason) else failed(reason)
-        }
-
-        private fun refuse(reason: String) {
-            request.account?.let { state.quota.putBack(it, request.tokens) }
-            val refusal = Refusal(ErrorKind.NO_BACKEND, reason, retryAfterMillis = retryAfterMillis())
-            logEnd("refused", reason)
-            writer.refuse(refusal)
-        }
-
-        private fun failed(reason: String) {
-            logEnd("failed", reason)
-            if (writer.hasBegun) {
-                writer.breakOff(reason)
-            } else {
-                writer.refuse(Refusal(ErrorKind.BACKEND_FAILED, reason))
-            }
-        }
-
-        fun timedOut() {
-            if (runs == 0 && !mayBeRunning) {
-                refuse("no time was left before a server took the request")
-            } else {
-                logEnd("timed_out", "no time left")
-                if (writer.hasBegun) {
-                    writer.breakOff("timed out")
-                } else {
-                    writer.refuse(Refusal(ErrorKind.TIMED_OUT, "the time ran out"))
-                }
-            }
-        }
-
-        private fun retryAfterMillis(): Long =
-            RETRY_AFTER_MILLIS + Math.floorMod(request.head.requestId.hashCode(), RETRY_SPREAD_MILLIS)
-
-        private fun logStart(backend: Backend, start: ExchangeStart, tookMillis: Long) {
-            DecisionLog.record(
-                "sent",
-                "request" to request.head.requestId,
-                "backend" to backend.id,
-                "wanted" to request.head.wanted,
-                "tookMillis" to tookMillis,
-                "outcome" to outcomeOf(start)
-            )
-        }
-
-        private fun outcomeOf(start: ExchangeStart): String = when (start) {
-            is ExchangeStart.Answered -> start.headers.status().codeAsText()
-            is ExchangeStart.NotRun -> if (start.isAbsent) "not here" else "not run"
-            is ExchangeStart.NotSent -> "not sent: ${start.reason}"
-            is ExchangeStart.Lost -> "lost: ${start.reason}"
-        }
-
-        private fun logEnd(event: String, reason: String) {
-            DecisionLog.record(
-                event,
-                "request" to request.head.requestId,
-                "route" to request.route.name,
-                "service" to request.service,
-                "wanted" to request.head.wanted,
-                "account" to request.account?.name,
-                "reason" to reason,
-                "afterMillis" to clock.monotonicMillis() - request.arrivedAtMillis,
-                "waitedMillis" to waitedMillis,
-                "firstMillis" to firstMillis,
-                "arrivals" to arrivals,
-                "version" to state.configuration?.version
-            )
-        }
-    }
-
-    private companion object {
-        /** A model loads within 4.2 s from the weight store, and may queue for it (site pages). */
-        const val MAX_MODEL_WAIT_MILLIS = 6_000L
-
-        /** Above what services fail by themselves (14 in 100 of one kind of request). */
-        const val DOUBTED_SCORE = 0.25
-
-        /** Bounds the memory of waiting requests; each is some kilobytes. */
-        const val MAX_WAITING = 500
-
-        /** A place is free after about the length of a request. */
-        const val RETRY_AFTER_MILLIS = 400L
-
-        /** Spreads callers that were refused together. */
-        const val RETRY_SPREAD_MILLIS = 600
+        if (leftMillis > 0 && withTimeoutOrNull(leftMillis) { forwarding.run() } != null) return
+        forwarding.timedOut()
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
@@ -1,6 +1,6 @@
 /*
- * The dialect that callers and backend servers speak over HTTP. The serving path decides; a protocol
- * only reads and writes names and formats.
+ * The dialect that callers and backend servers speak over HTTP. The serving path decides; a
+ * protocol only reads and writes names and formats.
  */
 package mustarddale.instance.serving.protocol
 
@@ -56,7 +56,9 @@
     /** The server says that it did not run the request. */
     NOT_RUN,
 
-    /** The server is not the expected one, or does not hold the model; it did not run the request. */
+    /**
+     * The server is not the expected one, or does not hold the model; it did not run the request.
+     */
     NOT_HERE,
 
     /** The answer belongs to another request or is not the server's own. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ResidencyView.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ResidencyView.kt
@@ -53,7 +53,9 @@
         /** The leader's reports on the engine have settled by then. */
         const val ABSENT_MILLIS = 400L
 
-        /** Without a leader nothing is ordered, so its last word holds for longer than its lease. */
+        /**
+         * Without a leader nothing is ordered, so its last word holds for longer than its lease.
+         */
         const val LEADER_VIEW_MILLIS = 20_000L
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -1,7 +1,8 @@
 /*
- * All that one instance believes while it serves: the configuration in force, the backend servers and
- * their loads, what the leader told about models, and the instance's shares and budgets. Everything
- * here belongs to the event loop, so no lock is needed and a request's decisions see one state.
+ * All that one instance believes while it serves: the configuration in force, the backend servers
+ * and their loads, what the leader told about models, and the instance's shares and budgets.
+ * Everything here belongs to the event loop, so no lock is needed and a request's decisions see one
+ * state.
  */
 package mustarddale.instance.serving.state
 
@@ -143,7 +144,9 @@
         val nowMillis = clock.monotonicMillis()
         val allowance = coldAllowance(configuration?.services?.get(service)?.coldRequestsPerSecond)
         return directory.backends
-            .filter { it.service == service && !it.isDraining && it.failureDomain !in closedDomains }
+            .filter {
+                it.service == service && !it.isDraining && it.failureDomain !in closedDomains
+            }
             .map { Candidate(withModels(it, wanted, nowMillis), loadOf(it), allowance) }
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/LeadershipDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/LeadershipDuty.kt
@@ -125,7 +125,13 @@
 
     private fun observe(read: TopicRead.Records) {
         val before = election.newest?.record?.run
-        election.observe(read.records.mapNotNull { decode(it) }, read.endOffset, clock.monotonicMillis())
+        election.observe(
+            read.records.mapNotNull {
+                decode(it)
+            },
+            read.endOffset,
+            clock.monotonicMillis()
+        )
         val leader = election.newest
         if (leader != null && leader.record.run != before) {
             DecisionLog.record(
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
@@ -66,11 +66,8 @@
      * Returns what to tell [instance], with what has changed at engines since [seenVersion]; null
      * if this instance does not lead or has not heard from [instance].
      */
-    public fun stateFor(
-        instance: String,
-        answers: Long,
-        seenVersion: Long
-    ): StewardMessage.State? = current()?.stateFor(instance, answers, seenVersion)
+    public fun stateFor(instance: String, answers: Long, seenVersion: Long): StewardMessage.State? =
+        current()?.stateFor(instance, answers, seenVersion)
 
     /** Takes tokens out of the pool; null if this instance does not lead. */
     public fun lend(wanted: StewardMessage.TokensWanted): StewardMessage.TokensGiven? =
@@ -87,7 +84,8 @@
         val mayOrderAtMillis = when {
             predecessor == null || predecessor.instance == holder -> won.sinceMillis
             predecessor.isResigning ->
-                won.sinceMillis + orderLeaseMillis - (predecessor.sinceOrderMillis ?: orderLeaseMillis)
+                won.sinceMillis + orderLeaseMillis -
+                    (predecessor.sinceOrderMillis ?: orderLeaseMillis)
 
             else -> won.sinceMillis + orderLeaseMillis
         }
@@ -236,7 +234,9 @@
                 val usable = plan.inventories.values.filter { mayGetOrders(it.engine) }
                 plan.adapterPlanner.plan(usable, plan.demand, nowMillis).forEach { give(plan, it) }
                 val mayLoad = plan.pace.isOpen(nowMillis)
-                plan.planner.plan(usable, plan.demand, mayLoad, nowMillis).forEach { give(plan, it) }
+                plan.planner.plan(usable, plan.demand, mayLoad, nowMillis).forEach {
+                    give(plan, it)
+                }
             }
         }
 
@@ -317,7 +317,8 @@
         val asking = HashSet<String>()
 
         fun isFromStore(inventory: EngineInventory, order: EngineOrder): Boolean =
-            order.wanted.model !in inventory.hostCopies && order.wanted.model !in inventory.diskCopies
+            order.wanted.model !in inventory.hostCopies &&
+                order.wanted.model !in inventory.diskCopies
     }
 
     private fun ModelSample.toSample() =
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
@@ -1,7 +1,7 @@
 /*
- * The connections between instances and their leader. The library's threads move the bytes; messages
- * are read and written on the event loop, where all decisions are made. A connection that is silent for several reports is given up,
- * because the other end may be gone without a word.
+ * The connections between instances and their leader. The library's threads move the bytes;
+ * messages are read and written on the event loop, where all decisions are made. A connection that
+ * is silent for several reports is given up, because the other end may be gone without a word.
  */
 package mustarddale.instance.serving.steward
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardMessage.kt
@@ -72,10 +72,7 @@
 
 /** The demand for one service's models at one instance. */
 @Serializable
-public data class ServiceDemand(
-    public val service: String,
-    public val models: List<ModelSample>
-)
+public data class ServiceDemand(public val service: String, public val models: List<ModelSample>)
 
 /** The demand for one model or adapter since the last report. */
 @Serializable
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/TokenLoans.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/TokenLoans.kt
@@ -1,7 +1,7 @@
 /*
- * Asks the leader for tokens when a request finds too few in this instance's shares. The leader takes
- * them out of its pool before it answers, so a lost answer loses tokens and never makes any. It runs
- * on the event loop.
+ * Asks the leader for tokens when a request finds too few in this instance's shares. The leader
+ * takes them out of its pool before it answers, so a lost answer loses tokens and never makes any.
+ * It runs on the event loop.
  */
 package mustarddale.instance.serving.steward
 
