--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -29,6 +29,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.feed.TopicLog
 import mustarddale.instance.serving.forward.Admission
 import mustarddale.instance.serving.forward.BackendExchange
@@ -59,10 +60,18 @@
     /** Orders to engines. */
     public val orders: EngineOrders
 
-    /** Brings configuration and list of backend servers into [state], until it is cancelled. */
-    public suspend fun follow(state: ServingState)
+    /** Returns the feeds that bring configuration and backend servers into [state]. */
+    public fun feeds(state: ServingState): Feeds
 }
 
+/**
+ * The feeds of an instance.
+ *
+ * @property operators brings what operators decide; each instance reads it itself.
+ * @property backends brings what backend servers say; the leader reads it for all.
+ */
+public data class Feeds(public val operators: KeyedFeed, public val backends: KeyedFeed)
+
 /** A serving instance with [settings]; [connect] makes the platform's side of it. */
 public class ServingInstance(
     private val settings: ServingSettings,
@@ -103,9 +112,11 @@
         settings.orderLeaseMillis,
         clock
     )
-    private val member = MemberDuty(state, self.instance, self.run, clock)
+    private val feeds = platform.feeds(state)
+    private val member = MemberDuty(state, feeds.backends, self.instance, self.run, clock)
     private val loans = TokenLoans(clock)
-    private val link = StewardLink(self, leadership, member, steward, loans, dispatcher)
+    private val link =
+        StewardLink(self, leadership, member, steward, loans, feeds.backends, dispatcher)
     private val forwarder = Forwarder(
         state,
         BackendChoice(random),
@@ -121,7 +132,8 @@
         forwarder,
         loans,
         clock,
-        ::closeIfLeaving
+        ::closeIfLeaving,
+        ::mayAdmit
     )
     private var leavingSinceMillis: Long? = null
     private val server: Server = Server.builder()
@@ -157,8 +169,10 @@
     public fun start() {
         state.onUrgentDemand = link::hurry
         steward.onContentsChanged = link::contentsChanged
+        feeds.backends.onNews = link::contentsChanged
         server.start().join()
-        scope.launch { platform.follow(state) }
+        scope.launch { feeds.operators.run() }
+        scope.launch { feeds.backends.run() }
         scope.launch { leadership.run() }
         scope.launch { tick() }
         link.start()
@@ -197,6 +211,12 @@
         if (leavingSinceMillis != null) ctx.initiateConnectionShutdown(Duration.ZERO)
     }
 
+    /** A leaving instance takes what still comes for a while, but nothing that it could not end. */
+    private fun mayAdmit(): Boolean {
+        val sinceMillis = leavingSinceMillis ?: return true
+        return clock.monotonicMillis() - sinceMillis < LAST_ADMISSION_MILLIS
+    }
+
     /** Leaves: takes no new callers, finishes what runs, and returns. */
     public fun leave(): Unit = runBlocking(dispatcher) {
         val startMillis = clock.monotonicMillis()
@@ -204,7 +224,8 @@
         DecisionLog.record("leaving", "open" to callers.openRequests)
         leadership.leave()
         val endMillis = startMillis + settings.termGraceMillis - EXIT_MARGIN_MILLIS
-        delay(UNREADY_SEEN_MILLIS)
+        delay(LAST_ADMISSION_MILLIS)
+        state.waitingRoom.close()
         var quietSince = clock.monotonicMillis()
         while (clock.monotonicMillis() < endMillis) {
             if (callers.openRequests > 0) quietSince = clock.monotonicMillis()
@@ -244,7 +265,7 @@
         const val TICK_MILLIS = 200L
 
         /** The balancer asks each second and takes an instance out after two misses. */
-        const val UNREADY_SEEN_MILLIS = 2_500L
+        const val LAST_ADMISSION_MILLIS = 2_800L
 
         /** Callers with open connections ask again within about that time. */
         const val QUIET_MILLIS = 1_000L
--- a/instance/src/main/kotlin/mustarddale/instance/serving/feed/KeyedFeed.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/feed/KeyedFeed.kt
@@ -1,6 +1,7 @@
 /*
  * Follows the newest records of a keyed topic: the whole state once, then each change. When history
- * has aged out, the whole state is read again; a gap is never skipped.
+ * has aged out, the whole state is read again; a gap is never skipped. Records may also come from
+ * the leader, who reads for all; when its news stop or have a gap, the feed reads by itself.
  */
 package mustarddale.instance.serving.feed
 
@@ -35,6 +36,18 @@
  */
 public data class FeedPace(public val waitMillis: Long, public val pauseMillis: Long)
 
+/**
+ * Records that another instance has read.
+ *
+ * @property fromOffset the offset of the first of [records].
+ * @property ageMillis how long ago the read was sent that found them, or found no more.
+ */
+public data class FeedNews(
+    public val fromOffset: Long,
+    public val records: List<ByteArray>,
+    public val ageMillis: Long
+)
+
 /** Follows [topic]; [split] divides a record into key and value. */
 public class KeyedFeed(
     private val log: TopicLog,
@@ -52,15 +65,53 @@
     public var knownAtMillis: Long = Long.MIN_VALUE
         private set
 
+    /** Called when a read has found something. */
+    public var onNews: () -> Unit = {}
+
+    /** The offset after the last known record, null before the first read. */
+    public var offset: Long? = null
+        private set
+
+    private val recent = ArrayDeque<TopicRecord>()
+    private var relayedAtMillis = Long.MIN_VALUE / 2
+
     /** Follows the topic until it is cancelled. */
     public suspend fun run() {
-        var offset: Long? = null
         while (true) {
             val from = offset
-            offset = if (from == null) readAll() else readOn(from)
+            val leftMillis = relayedAtMillis + RELAY_FRESH_MILLIS - clock.monotonicMillis()
+            when {
+                from == null -> offset = readAll()
+                leftMillis > 0 -> delay(leftMillis)
+                else -> readOn(from)
+            }
         }
     }
 
+    /** Returns what was read from [fromOffset] on, null if that is not known any more. */
+    public fun newsSince(fromOffset: Long): FeedNews? {
+        val end = offset ?: return null
+        val isKnown =
+            fromOffset == end || recent.firstOrNull()?.let { it.offset <= fromOffset } ?: false
+        if (!isKnown || fromOffset > end) return null
+        val records = recent.filter { it.offset >= fromOffset }.map { it.bytes }
+        return FeedNews(fromOffset, records, clock.monotonicMillis() - knownAtMillis)
+    }
+
+    /** Takes in what the leader has read, as far as it follows what is known here. */
+    public fun relayed(news: FeedNews) {
+        val from = offset ?: return
+        val end = news.fromOffset + news.records.size
+        if (news.fromOffset > from || end < from) return
+        val readAtMillis = clock.monotonicMillis() - news.ageMillis
+        relayedAtMillis = maxOf(relayedAtMillis, readAtMillis)
+        knownAtMillis = maxOf(knownAtMillis, readAtMillis)
+        news.records.drop((from - news.fromOffset).toInt()).forEachIndexed { index, bytes ->
+            take(TopicRecord(from + index, bytes))
+        }
+        offset = end
+    }
+
     private suspend fun readAll(): Long? {
         val sentMillis = clock.monotonicMillis()
         return when (val read = log.newest(topic)) {
@@ -77,30 +128,33 @@
         }
     }
 
-    private suspend fun readOn(from: Long): Long? {
+    private suspend fun readOn(from: Long) {
         val sentMillis = clock.monotonicMillis()
         val waitMillis = if (isLost) 0 else pace.waitMillis
-        return when (val read = log.read(topic, from, waitMillis)) {
+        val read = log.read(topic, from, waitMillis)
+        // News from the leader may have come in the meantime.
+        if (offset != from) return
+        when (read) {
             is TopicRead.Records -> {
                 answered(sentMillis)
                 read.records.forEach { take(it) }
+                offset = from + read.records.size
+                onNews()
                 if (read.records.isNotEmpty()) delay(pace.pauseMillis)
-                read.records.lastOrNull()?.let { it.offset + 1 } ?: from
             }
 
             is TopicRead.AgedOut -> {
                 DecisionLog.record("feed_refold", "topic" to topic, "offset" to from)
-                null
+                offset = null
             }
 
-            is TopicRead.Failed -> {
-                failed(read.reason)
-                from
-            }
+            is TopicRead.Failed -> failed(read.reason)
         }
     }
 
     private fun take(record: TopicRecord) {
+        recent.addLast(record)
+        if (recent.size > MAX_RECENT) recent.removeFirst()
         val keyed = split(record.bytes)
         if (keyed == null) {
             DecisionLog.record("record_unreadable", "topic" to topic, "offset" to record.offset)
@@ -130,6 +184,12 @@
     }
 
     private companion object {
+        /** Twice the pace of the leader's reads, and less than half of any bound on them. */
+        const val RELAY_FRESH_MILLIS = 900L
+
+        /** Records of some seconds, for instances that have just connected. */
+        const val MAX_RECENT = 256
+
         /** Retries begin soon, since most failures are of one connection, and back off fourfold. */
         const val FIRST_RETRY_MILLIS = 80L
         const val MAX_DOUBLINGS = 2
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -37,7 +37,8 @@
     private val forwarder: Forwarder,
     private val loans: TokenLoans,
     private val clock: Clock,
-    private val onRequest: (ServiceRequestContext) -> Unit
+    private val onRequest: (ServiceRequestContext) -> Unit,
+    private val mayAdmit: () -> Boolean
 ) : HttpService {
     /** The requests that have no final answer yet. */
     @Volatile
@@ -81,6 +82,12 @@
                 writer.refuse(Refusal(ErrorKind.INVALID_REQUEST, "the request has no id"))
                 return
             }
+            if (!mayAdmit()) {
+                val refusal = leavingRefusal()
+                logRefused(head, refusal)
+                writer.refuse(refusal)
+                return
+            }
             answer(head, req, whole.content(), writer, arrivedAtMillis)
         } catch (e: CancellationException) {
             if (head != null && !writer.hasEnded) logLeft(head, arrivedAtMillis)
@@ -141,6 +148,12 @@
         }
     }
 
+    private fun leavingRefusal() = Refusal(
+        ErrorKind.NOT_READY,
+        "the instance is leaving",
+        retryAfterMillis = OTHER_INSTANCE_RETRY_MILLIS
+    )
+
     private fun logRefused(head: CallerHead, refusal: Refusal) {
         DecisionLog.record(
             "refused",
@@ -162,6 +175,9 @@
     private companion object {
         /** A third of the usual target: the answer can still be on time. */
         const val MAX_TOKEN_WAIT_MILLIS = 100L
+
+        /** A new connection reaches another instance at once. */
+        const val OTHER_INSTANCE_RETRY_MILLIS = 20L
     }
 
     private inner class StreamingAnswer(
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -100,10 +100,10 @@
             return false
         }
         state.onUrgentDemand()
-        val isThere = withTimeoutOrNull(waitMillis) { state.waitingRoom.await(awaited) } != null
+        val isThere = withTimeoutOrNull(waitMillis) { state.waitingRoom.await(awaited) } == true
         waitedMillis += clock.monotonicMillis() - nowMillis
         if (isThere) return true
-        refuseOrFail("model ${awaited.wanted} was not loaded within $waitMillis ms")
+        refuseOrFail("model ${awaited.wanted} was not loaded after $waitedMillis ms")
         return false
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/WaitingRoom.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/WaitingRoom.kt
@@ -8,7 +8,9 @@
 
 /** Requests that wait until a model is resident; belongs to one thread. */
 public class WaitingRoom {
-    private val waiters = HashMap<Awaited, MutableList<CompletableDeferred<Unit>>>()
+    private val waiters = HashMap<Awaited, MutableList<CompletableDeferred<Boolean>>>()
+
+    private var isClosed = false
 
     /** Returns how many requests wait for each model. */
     public fun counts(): Map<Awaited, Int> = waiters.mapValues { it.value.size }
@@ -16,12 +18,13 @@
     /** Returns whether no more than [limit] requests wait already. */
     public fun hasRoom(limit: Int): Boolean = waiters.values.sumOf { it.size } < limit
 
-    /** Waits until [awaited] may be there. */
-    public suspend fun await(awaited: Awaited) {
-        val waiter = CompletableDeferred<Unit>()
+    /** Waits until [awaited] may be there; false if the instance leaves. */
+    public suspend fun await(awaited: Awaited): Boolean {
+        if (isClosed) return false
+        val waiter = CompletableDeferred<Boolean>()
         waiters.getOrPut(awaited) { mutableListOf() }.add(waiter)
         try {
-            waiter.await()
+            return waiter.await()
         } finally {
             waiters[awaited]?.let {
                 it.remove(waiter)
@@ -33,7 +36,13 @@
     /** Wakes the requests whose model [isThere]. */
     public fun wake(isThere: (Awaited) -> Boolean) {
         waiters.filterKeys(isThere).values.toList().forEach { list ->
-            list.toList().forEach { it.complete(Unit) }
+            list.toList().forEach { it.complete(true) }
         }
     }
+
+    /** Ends all waits, because the instance leaves. */
+    public fun close() {
+        isClosed = true
+        waiters.values.flatten().forEach { it.complete(false) }
+    }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/MemberDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/MemberDuty.kt
@@ -5,12 +5,15 @@
 package mustarddale.instance.serving.steward
 
 import mustarddale.instance.serving.DecisionLog
+import mustarddale.instance.serving.feed.FeedNews
+import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.time.Clock
 
 /** Reports the beliefs in [state] as [instance], in its process [run]. */
 public class MemberDuty(
     private val state: ServingState,
+    private val backends: KeyedFeed,
     private val instance: String,
     private val run: String,
     private val clock: Clock
@@ -35,6 +38,7 @@
             confirmedRevision = revision,
             shares = shares,
             wantedTokens = state.quota.takeWanted(),
+            backendOffset = backends.offset,
             demand = state.takeDemand().map { (service, samples) ->
                 ServiceDemand(
                     service,
@@ -62,6 +66,17 @@
             revision = 0
         }
         state.residency.heard(nowMillis)
+        message.backends?.let { news ->
+            backends.relayed(
+                FeedNews(
+                    news.fromOffset,
+                    news.records.map {
+                        it.bytes
+                    },
+                    news.ageMillis
+                )
+            )
+        }
         message.engines.forEach { state.residency.put(it.engine, it.models) }
         state.instanceCount = message.instances.coerceAtLeast(1)
         takeShares(message, nowMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
@@ -30,6 +30,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.instance.peer.FrameCodec
 import mustarddale.instance.serving.DecisionLog
+import mustarddale.instance.serving.feed.FeedNews
+import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.serving.leadership.LeaderRecord
 
 /** Connects the instance [self] with its leader; [eventLoop] owns all of these. */
@@ -39,6 +41,7 @@
     private val member: MemberDuty,
     private val steward: StewardDuty,
     private val loans: TokenLoans,
+    private val backends: KeyedFeed,
     eventLoop: CoroutineDispatcher
 ) : AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
@@ -183,14 +186,11 @@
         changed.add(signal)
         try {
             launch {
-                var seenVersion = 0L
+                val teller = Teller(output)
                 while (true) {
                     signal.receive()
                     while (answers.isNotEmpty()) codec.write(output, answers.removeFirst())
-                    val report = lastReport ?: continue
-                    val state = steward.stateFor(report.instance, report.number, seenVersion)
-                    if (state != null) seenVersion = steward.contentsVersion
-                    codec.write(output, state ?: StewardMessage.NotLeading)
+                    lastReport?.let { teller.tell(it) }
                 }
             }
             while (true) {
@@ -212,6 +212,28 @@
         }
     }
 
+    /** Tells one instance what it does not know yet. */
+    private inner class Teller(private val output: ByteWriteChannel) {
+        private var seenVersion = 0L
+        private var sentOffset: Long? = null
+
+        suspend fun tell(report: StewardMessage.Report) {
+            val state = steward.stateFor(report.instance, report.number, seenVersion)
+            if (state == null) {
+                codec.write(output, StewardMessage.NotLeading)
+                return
+            }
+            seenVersion = steward.contentsVersion
+            val from = listOfNotNull(sentOffset, report.backendOffset).maxOrNull()
+            val news = from?.let { backends.newsSince(it) }
+            if (news != null) sentOffset = news.fromOffset + news.records.size
+            codec.write(output, state.copy(backends = news?.toMessage()))
+        }
+
+        private fun FeedNews.toMessage() =
+            BackendNews(fromOffset, records.map { RecordBytes(it) }, ageMillis)
+    }
+
     @Suppress("TooGenericExceptionCaught")
     private suspend fun guarded(socket: Socket, other: String, session: suspend () -> Unit) {
         try {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardMessage.kt
@@ -5,8 +5,10 @@
  */
 package mustarddale.instance.serving.steward
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 
 /** A message between an instance and the leader. */
 @Serializable
@@ -15,6 +17,7 @@
      * What an instance tells.
      *
      * @property number counts the reports of this connection.
+     * @property backendOffset up to where the instance knows the list of backend servers.
      * @property term the leadership whose shares are in force, and [confirmedRevision] which.
      */
     @Serializable
@@ -27,6 +30,7 @@
         public val confirmedRevision: Long,
         public val shares: Map<String, Double>,
         public val wantedTokens: Map<String, Double>,
+        public val backendOffset: Long?,
         public val demand: List<ServiceDemand>
     ) : StewardMessage
 
@@ -35,6 +39,7 @@
      *
      * @property answers the number of the report that this answers; the lease of [shares] counts
      *   from when that was sent.
+     * @property backends what the leader has read of the list of backend servers.
      * @property engines what has changed at engines since the last message.
      */
     @Serializable
@@ -46,7 +51,8 @@
         public val shares: Map<String, Double>,
         public val shareLeaseMillis: Long,
         public val instances: Int,
-        public val engines: List<EngineContents>
+        public val engines: List<EngineContents>,
+        public val backends: BackendNews? = null
     ) : StewardMessage
 
     /** An instance asks for [tokens] of [account] out of the leader's pool. */
@@ -90,3 +96,16 @@
     public val engine: String,
     public val models: Map<String, List<String>>
 )
+
+/** Records of the list of backend servers, which the leader read [ageMillis] ago. */
+@Serializable
+public data class BackendNews(
+    public val fromOffset: Long,
+    public val records: List<RecordBytes>,
+    public val ageMillis: Long
+)
+
+/** The bytes of one record. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+public class RecordBytes(@ByteString public val bytes: ByteArray)
