Notice a reset connection behind an answer without a length

A watch below the library notes the failure. Ruled out: answers with a length or chunks (PathTest, all broken off).

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -34,6 +34,7 @@
 import mustarddale.instance.serving.forward.Admission
 import mustarddale.instance.serving.forward.BackendExchange
 import mustarddale.instance.serving.forward.CallerService
+import mustarddale.instance.serving.forward.ConnectionWatch
 import mustarddale.instance.serving.forward.Forwarder
 import mustarddale.instance.serving.protocol.ServingProtocol
 import mustarddale.instance.serving.settings.ServingSettings
@@ -88,6 +89,7 @@
         .workerGroup(group, false)
         .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
         .idleTimeoutMillis(CLIENT_IDLE_MILLIS)
+        .connectionPoolListener(ConnectionWatch.Adder)
         .channelOption(ChannelOption.SO_KEEPALIVE, true)
         .channelOption(EpollChannelOption.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MILLIS)
         .channelOption(EpollChannelOption.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendExchange.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendExchange.kt
@@ -6,6 +6,8 @@
 package mustarddale.instance.serving.forward
 
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.ClientRequestContext
+import com.linecorp.armeria.client.Clients
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.HttpData
@@ -28,7 +30,8 @@
     public data class Answered(
         public val headers: ResponseHeaders,
         public val head: AnswerHead,
-        public val body: StreamMessage<HttpData>
+        public val body: StreamMessage<HttpData>,
+        public val connection: ConnectionWatch?
     ) : ExchangeStart
 
     /** The server did not run the request; [isAbsent] if it is not the one that can. */
@@ -57,9 +60,10 @@
         headers: RequestHeaders,
         body: HttpData
     ): ExchangeStart {
-        val response = clientOf(address).execute(HttpRequest.of(headers, body))
+        val captor = Clients.newContextCaptor()
+        val response = captor.use { clientOf(address).execute(HttpRequest.of(headers, body)) }
         return try {
-            start(response, requestId)
+            start(response, requestId, captor.get())
         } catch (e: CancellationException) {
             response.abort()
             throw e
@@ -72,12 +76,17 @@
         }
     }
 
-    private suspend fun start(response: HttpResponse, requestId: String): ExchangeStart {
+    private suspend fun start(
+        response: HttpResponse,
+        requestId: String,
+        context: ClientRequestContext
+    ): ExchangeStart {
         val parts = response.split()
         val headers = parts.headers().await()
+        val connection = ConnectionWatch.on(context.log().partial().channel())
         val head = protocol.readAnswer(headers, requestId)
         return when (head.kind) {
-            AnswerKind.PROPER -> ExchangeStart.Answered(headers, head, parts.body())
+            AnswerKind.PROPER -> ExchangeStart.Answered(headers, head, parts.body(), connection)
 
             AnswerKind.NOT_RUN, AnswerKind.NOT_HERE -> {
                 parts.body().subscribe()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -5,7 +5,6 @@
 package mustarddale.instance.serving.forward
 
 import com.linecorp.armeria.common.HttpData
-import com.linecorp.armeria.common.stream.StreamMessage
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.reactive.collect
 import kotlinx.coroutines.withTimeoutOrNull
@@ -212,7 +211,7 @@
         }
         if (!request.route.isStream || !isSuccess) return relayWhole(start)
         if (!isResumed) writer.head(protocol.answer(start.headers))
-        return relayEvents(start.body)
+        return relayEvents(start)
     }
 
     @Suppress("TooGenericExceptionCaught")
@@ -225,6 +224,7 @@
         } catch (e: Exception) {
             return "answer cut: $e"
         }
+        if (start.connection?.wasCut == true) return "the connection was reset within the answer"
         writer.head(protocol.answer(start.headers))
         parts.forEach { writer.part(it) }
         writer.complete()
@@ -232,10 +232,10 @@
     }
 
     @Suppress("TooGenericExceptionCaught")
-    private suspend fun relayEvents(body: StreamMessage<HttpData>): String? {
+    private suspend fun relayEvents(start: ExchangeStart.Answered): String? {
         val isResumable = request.route.repeatability == Repeatability.RESUMABLE
         try {
-            body.collect { data ->
+            start.body.collect { data ->
                 val whole = if (isResumable) events.take(data.array()) else data.array()
                 if (whole.isNotEmpty()) writer.part(HttpData.wrap(whole))
             }
@@ -245,6 +245,10 @@
             events.dropPart()
             return "stream cut: $e"
         }
+        if (start.connection?.wasCut == true) {
+            events.dropPart()
+            return "the connection was reset within the stream"
+        }
         if (events.hasPart) {
             events.dropPart()
             return "the stream ended within an event"
