Record what each instance may hold, and until when, for the next leader

The leadership record now tells each holder's largest share and the rest of its lease. Ruled out: the store's outage itself, the shares of living instances outlast it. ShareLedgerTest found two faults on the way, unconfirmed larger shares and records in flight. A stream cut midway no longer makes its server suspected.

--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
@@ -1,6 +1,7 @@
 package mustarddale.serving.leadership
 
 import kotlinx.serialization.Serializable
+import mustarddale.serving.quota.ShareHolder
 
 /**
  * One record of the leadership log: its writer leads from the record on.
@@ -21,7 +22,7 @@
     public val term: Long = UNKNOWN_TERM,
     public val isResigning: Boolean = false,
     public val sinceOrderMillis: Long? = null,
-    public val shareHolders: List<String> = emptyList()
+    public val shareHolders: List<ShareHolder> = emptyList()
 ) {
     public companion object {
         /** The term of a record whose offset is not known yet. */
--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
@@ -6,6 +6,8 @@
  */
 package mustarddale.serving.quota
 
+import kotlinx.serialization.Serializable
+
 /** What an instance tells about its shares. */
 public data class ShareReport(
     public val instance: String,
@@ -18,6 +20,18 @@
 /** Shares for one instance. */
 public data class Deal(public val revision: Long, public val shares: Map<String, Double>)
 
+/**
+ * What an instance may hold at most of any account, as a successor has to assume it.
+ *
+ * @property leftMillis how long its lease still lasts.
+ */
+@Serializable
+public data class ShareHolder(
+    public val instance: String,
+    public val maxShare: Double,
+    public val leftMillis: Long
+)
+
 /**
  * The shares of all instances, kept by the leader; belongs to one thread.
  *
@@ -26,21 +40,34 @@
  * @param leaseMillis how long a dealt share is valid, counted by the ledger from when it is dealt.
  */
 public class ShareLedger(
-    earlierHolders: Collection<String>,
+    earlierHolders: Collection<ShareHolder>,
     private val total: Double,
     private val leaseMillis: Long,
     startMillis: Long
 ) {
     private val holdings = HashMap<String, Holding>()
-    private val unresolved = earlierHolders.toHashSet()
-    private val unresolvedUntilMillis = startMillis + leaseMillis
+    private val unresolved = earlierHolders.associateByTo(HashMap()) { it.instance }
+    private val unresolvedSinceMillis = startMillis
     private var lastDemandMillis = startMillis
 
-    /** Instances that may hold shares. */
-    public val holders: Set<String> get() = holdings.keys + unresolved
+    /** How many instances may hold shares. */
+    public val holderCount: Int get() = (holdings.keys + unresolved.keys).size
+
+    /** Returns what a successor has to assume, with room for the next deals. */
+    public fun holders(nowMillis: Long): List<ShareHolder> {
+        val accounts = holdings.values.flatMapTo(HashSet()) { it.demand.keys + it.accounts }
+        val targets = accounts.map { targets(it) }
+        val known = holdings.map { (instance, holding) ->
+            val wanted = targets.maxOfOrNull { it.getValue(instance) } ?: (total / holdings.size)
+            val most = holding.accounts.maxOfOrNull { holding.most(it) } ?: 0.0
+            val maxShare = (maxOf(wanted, most) * HEADROOM).coerceAtMost(total)
+            ShareHolder(instance, maxShare, leaseMillis + LEASE_MARGIN_MILLIS)
+        }
+        return known + unresolved.values.map { it.copy(leftMillis = leftMillis(it, nowMillis)) }
+    }
 
-    /** Instances that reported and still count. */
-    public val reporting: Set<String> get() = holdings.keys
+    private fun leftMillis(holder: ShareHolder, nowMillis: Long): Long =
+        unresolvedSinceMillis + holder.leftMillis - nowMillis
 
     /** Takes in [report]. */
     public fun report(report: ShareReport, nowMillis: Long) {
@@ -56,31 +83,28 @@
     }
 
     /**
-     * Deals shares of [accounts] to all reporting instances that are in [mayHold], the instances
-     * that a successor will know of.
+     * Deals shares of [accounts] to all reporting instances, up to what a successor will assume by
+     * [recorded].
      */
     public fun deal(
         accounts: Collection<String>,
-        mayHold: Set<String>,
+        recorded: Collection<ShareHolder>,
         nowMillis: Long
     ): Map<String, Deal> {
         forget(nowMillis)
         fadeDemand(nowMillis)
+        val bounds = recorded.associate { it.instance to it.maxShare }
         val dealt = holdings.mapValues { HashMap<String, Double>() }
         for (account in accounts) {
             val targets = targets(account)
-            var free =
-                total - reserved(account, nowMillis) - holdings.values.sumOf { it.most(account) }
+            val taken = holdings.values.sumOf { it.most(account) }
+            var free = total - unresolved.values.sumOf { it.maxShare } - taken
             for ((instance, holding) in holdings) {
-                if (instance !in mayHold) continue
+                val target = minOf(targets.getValue(instance), bounds[instance] ?: 0.0)
                 val most = holding.most(account)
-                val raise = (
-                    targets.getValue(
-                        instance
-                    ) - most
-                    ).coerceIn(0.0, free.coerceAtLeast(0.0))
+                val raise = (target - most).coerceIn(0.0, free.coerceAtLeast(0.0))
                 free -= raise
-                val share = minOf(targets.getValue(instance), most + raise)
+                val share = minOf(target, most + raise)
                 if (share > 0) dealt.getValue(instance)[account] = share
             }
         }
@@ -97,16 +121,11 @@
         }
     }
 
-    private fun reserved(account: String, nowMillis: Long): Double {
-        if (unresolved.isEmpty() || nowMillis >= unresolvedUntilMillis) return 0.0
-        return (total - holdings.values.sumOf { it.inherited[account] ?: 0.0 }).coerceAtLeast(0.0)
-    }
-
     private fun forget(nowMillis: Long) {
         holdings.values.removeIf {
             nowMillis - it.heardAtMillis > leaseMillis + LEASE_MARGIN_MILLIS
         }
-        if (nowMillis >= unresolvedUntilMillis) unresolved.clear()
+        unresolved.values.removeIf { leftMillis(it, nowMillis) <= 0 }
     }
 
     private fun fadeDemand(nowMillis: Long) {
@@ -116,11 +135,12 @@
         holdings.values.forEach { it.demand.replaceAll { _, tokens -> tokens * factor } }
     }
 
-    private class Holding(val run: String, val inherited: Map<String, Double>) {
+    private class Holding(val run: String, inherited: Map<String, Double>) {
         var held = inherited
         var sent = Deal(revision = 0, shares = inherited)
         var heardAtMillis = 0L
         val demand = HashMap<String, Double>()
+        val accounts: Set<String> get() = held.keys + sent.shares.keys
 
         fun most(account: String): Double = maxOf(held[account] ?: 0.0, sent.shares[account] ?: 0.0)
 
@@ -137,6 +157,9 @@
         /** Part that is divided evenly, so that an instance's first requests find tokens. */
         const val EVEN_PART = 0.3
 
+        /** Shares may grow by half before the next leadership record is written. */
+        const val HEADROOM = 1.5
+
         /** Demand of the last seconds decides; bursts last three seconds and more. */
         const val DEMAND_LIFETIME_MILLIS = 2_000.0
 
--- a/core/src/test/kotlin/mustarddale/serving/quota/ShareLedgerTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/quota/ShareLedgerTest.kt
@@ -52,7 +52,7 @@
         val random = Random(seed)
         val members = List(5) { Member("m$it") }
         var term = 1
-        var recorded = emptySet<String>()
+        var recorded = emptyList<ShareHolder>()
         var ledger = ShareLedger(emptyList(), 0.5, leaseMillis, 0)
         val answers = ArrayList<Triple<Long, Int, () -> Unit>>()
         for (nowMillis in 0L..60_000L step 100) {
@@ -66,7 +66,7 @@
                 // An instance has one connection: with a new leader's the old one's answers end.
                 member.connectedTo = term
                 ledger.report(member.report(term, nowMillis, random), nowMillis)
-                recorded = ledger.holders
+                if (random.nextInt(3) == 0) recorded = ledger.holders(nowMillis)
                 val deal = ledger.deal(listOf(account), recorded, nowMillis)[member.name]
                 if (deal == null || random.nextInt(5) == 0) return@forEach
                 val run = member.run
@@ -94,7 +94,7 @@
     @Test
     fun `shares follow demand once smaller ones are confirmed`() {
         val ledger = ShareLedger(emptyList(), 1.0, leaseMillis, 0)
-        val both = setOf("a", "b")
+        val both = listOf("a", "b").map { ShareHolder(it, 1.0, leaseMillis) }
         ledger.report(report("a", 0.0), 0)
         ledger.report(report("b", 0.0), 0)
         val first = ledger.deal(listOf(account), both, 0)
@@ -110,18 +110,21 @@
 
     @Test
     fun `a new leader leaves what unknown instances may hold until their leases end`() {
-        val ledger = ShareLedger(listOf("gone"), 1.0, leaseMillis, startMillis = 0)
-        ledger.report(report("a", 10.0), 0)
-        assertEquals(emptyMap(), ledger.deal(listOf(account), setOf("a"), 0).getValue("a").shares)
-        ledger.report(report("a", 10.0), leaseMillis)
-        val deal = ledger.deal(listOf(account), setOf("a"), leaseMillis).getValue("a")
-        assertEquals(1.0, deal.shares.getValue(account), 1e-9)
+        val gone = ShareHolder("gone", maxShare = 0.2, leftMillis = 4_000)
+        val recorded = listOf(ShareHolder("a", 1.0, leaseMillis))
+        val ledger = ShareLedger(listOf(gone), 1.0, leaseMillis, startMillis = 0)
+        listOf(0L to 0.8, 3_900L to 0.8, 4_000L to 1.0).forEach { (nowMillis, expected) ->
+            ledger.report(report("a", 10.0), nowMillis)
+            val deal = ledger.deal(listOf(account), recorded, nowMillis).getValue("a")
+            assertEquals(expected, deal.shares.getValue(account), 1e-9, "$nowMillis ms")
+        }
     }
 
     @Test
     fun `nothing is dealt to an instance that a successor would not know of`() {
         val ledger = ShareLedger(emptyList(), 1.0, leaseMillis, 0)
         ledger.report(report("a", 10.0), 0)
-        assertEquals(emptyMap(), ledger.deal(listOf(account), emptySet(), 0).getValue("a").shares)
+        val deals = ledger.deal(listOf(account), emptyList(), 0)
+        assertEquals(emptyMap(), deals.getValue("a").shares)
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ConnectionWatch.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ConnectionWatch.kt
@@ -1,6 +1,6 @@
 /*
- * Watches the connections to backend servers below the HTTP library. An answer without a length ends
- * with its connection; the library does not tell how such a connection ended.
+ * Watches the connections to backend servers below the HTTP library. An answer without a length
+ * ends with its connection; the library does not tell how such a connection ended.
  */
 package mustarddale.instance.serving.forward
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -170,7 +170,8 @@
             return Attempt(Ending.FAILED, isFinal = false)
         }
         val failure = relay(start)
-        if (failure != null) return Attempt(Ending.LOST, endIfNotRepeatable(failure))
+        // The server answered, so a cut within the answer does not show that it is gone.
+        if (failure != null) return Attempt(Ending.FAILED, endIfNotRepeatable(failure))
         logEnd("finished", status.codeAsText())
         val ending = if (status.isServerError) Ending.FAILED else Ending.GOOD
         return Attempt(ending, isFinal = true)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
@@ -17,6 +17,7 @@
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.quota.AccountQuota
 import mustarddale.serving.quota.Deal
+import mustarddale.serving.quota.ShareHolder
 import mustarddale.serving.quota.ShareLedger
 import mustarddale.serving.quota.ShareReport
 import mustarddale.serving.residency.AdapterPlanner
@@ -46,7 +47,7 @@
     init {
         leadership.onWon = { begin(it) }
         leadership.describe = { describe(it) }
-        leadership.onRecorded = { reign?.recordedHolders = it.shareHolders.toSet() }
+        leadership.onRecorded = { reign?.recordedHolders = it.shareHolders }
     }
 
     /** Counts changes of engines' contents; grows with each. */
@@ -94,14 +95,14 @@
 
     private fun describe(record: LeaderRecord): LeaderRecord = record.copy(
         sinceOrderMillis = lastOrderMillis?.let { clock.monotonicMillis() - it },
-        shareHolders = current()?.nextHolders()?.sorted()
+        shareHolders = current()?.holders()
             ?: leadership.leader()?.record?.shareHolders.orEmpty()
     )
 
     private inner class Reign(won: WonTerm, private val mayOrderAtMillis: Long) {
         val term = won.term
         private val startMillis = won.sinceMillis
-        var recordedHolders: Set<String> = won.predecessor?.shareHolders.orEmpty().toSet()
+        var recordedHolders: List<ShareHolder> = won.predecessor?.shareHolders.orEmpty()
         var contentsVersion = 0L
             private set
         lateinit var job: Job
@@ -115,7 +116,6 @@
         private val contents = HashMap<String, EngineContents>()
         private var deals = emptyMap<String, Deal>()
         private var dealtAtMillis = 0L
-        private var known = emptySet<String>()
 
         fun start() {
             job = scope.launch {
@@ -126,11 +126,20 @@
             }
         }
 
-        fun nextHolders(): Set<String> = ledger.holders + known
+        /** Returns the holders for a record that is about to be sent; it may or may not land. */
+        fun holders(): List<ShareHolder> {
+            val next = ledger.holders(clock.monotonicMillis())
+            val before = recordedHolders.associateBy { it.instance }
+            recordedHolders = next.mapNotNull { holder ->
+                before[holder.instance]?.let {
+                    holder.copy(maxShare = minOf(holder.maxShare, it.maxShare))
+                }
+            }
+            return next
+        }
 
         fun report(report: StewardMessage.Report) {
             val nowMillis = clock.monotonicMillis()
-            known = known + report.instance
             ledger.report(shareReport(report), nowMillis)
             var isUrgent = false
             report.demand.forEach { demand ->
@@ -168,7 +177,7 @@
                 revision = deal?.revision ?: 0,
                 shares = deal?.shares.orEmpty(),
                 shareLeaseMillis = SHARE_LEASE_MILLIS,
-                instances = ledger.holders.size,
+                instances = ledger.holderCount,
                 engines = contents.values.filter { (versions[it.engine] ?: 0) > seenVersion }
             )
         }
