--- a/cli/src/main/kotlin/mustarddale/cli/Main.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/Main.kt
@@ -20,6 +20,7 @@
         StatusCommand(),
         StandInCommand(),
         PlatformCommand(),
+        RehearseCommand(),
         DemoCommand(),
         VersionCommand()
     )
--- /dev/null
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/WaitingRoomTest.kt
@@ -0,0 +1,34 @@
+package mustarddale.instance.serving
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.runBlocking
+import mustarddale.instance.serving.state.Awaited
+import mustarddale.instance.serving.state.WaitingRoom
+import mustarddale.serving.backend.WantedModel
+
+class WaitingRoomTest {
+    private val first = Awaited("scribe", WantedModel("m1"))
+    private val second = Awaited("scribe", WantedModel("m2"))
+
+    @Test
+    fun `a wait ends when the model is there, when the instance leaves or when it is cancelled`() =
+        runBlocking(Dispatchers.Unconfined) {
+            val room = WaitingRoom()
+            val waits = listOf(first, second, second).map { awaited ->
+                async(start = CoroutineStart.UNDISPATCHED) { room.await(awaited) }
+            }
+            assertEquals(mapOf(first to 1, second to 2), room.counts())
+            room.wake { it == first }
+            assertEquals(true, waits[0].await())
+            waits[1].cancelAndJoin()
+            assertEquals(mapOf(second to 1), room.counts())
+            room.close()
+            assertEquals(false, waits[2].await())
+            assertEquals(false, room.await(first), "nobody waits at an instance that leaves")
+        }
+}
