--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -13,6 +13,7 @@
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.ServiceRequestContext
+import io.micrometer.core.instrument.Metrics
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.ChannelOption
@@ -172,6 +173,10 @@
         state.onUrgentDemand = link::hurry
         steward.onContentsChanged = link::contentsChanged
         feeds.backends.onNews = link::contentsChanged
+        Metrics.addRegistry(metrics)
+        Metrics.gauge("mustarddale.requests.open", callers) { it.openRequests.toDouble() }
+        Metrics.gauge("mustarddale.backends", state) { it.directory.backends.size.toDouble() }
+        Metrics.gauge("mustarddale.instances", state) { it.instanceCount.toDouble() }
         server.start().join()
         scope.launch { feeds.operators.run() }
         scope.launch { feeds.backends.run() }
@@ -240,6 +245,7 @@
     /** Stops at once, without finishing what runs. */
     override fun close() {
         scope.cancel()
+        Metrics.removeRegistry(metrics)
         link.close()
         server.stop().join()
         clients.close()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -5,6 +5,10 @@
 package mustarddale.instance.serving.forward
 
 import com.linecorp.armeria.common.HttpData
+import io.micrometer.core.instrument.Metrics
+import io.micrometer.core.instrument.Timer
+import java.time.Duration
+import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.reactive.collect
 import kotlinx.coroutines.withTimeoutOrNull
@@ -172,6 +176,7 @@
         val failure = relay(start)
         // The server answered, so a cut within the answer does not show that it is gone.
         if (failure != null) return Attempt(Ending.FAILED, endIfNotRepeatable(failure))
+        firstByteTimer().record(firstMillis, TimeUnit.MILLISECONDS)
         logEnd("finished", status.codeAsText())
         val ending = if (status.isServerError) Ending.FAILED else Ending.GOOD
         return Attempt(ending, isFinal = true)
@@ -305,6 +310,14 @@
     private fun retryAfterMillis(): Long = RETRY_AFTER_MILLIS +
         Math.floorMod(request.head.requestId.hashCode(), RETRY_SPREAD_MILLIS)
 
+    /** From a request's arrival to the head of its answer. */
+    private fun firstByteTimer(): Timer = Timer.builder("mustarddale.first.byte")
+        .tag("service", request.service)
+        .publishPercentileHistogram()
+        .minimumExpectedValue(Duration.ofMillis(1))
+        .maximumExpectedValue(Duration.ofSeconds(MAX_SECONDS))
+        .register(Metrics.globalRegistry)
+
     private fun logStart(backend: Backend, start: ExchangeStart, tookMillis: Long) {
         DecisionLog.record(
             "sent",
@@ -347,6 +360,9 @@
         /** Above what services fail by themselves (14 in 100 of one kind of request). */
         const val DOUBTED_SCORE = 0.25
 
+        /** The longest deadline of the sites is 20 s. */
+        const val MAX_SECONDS = 20L
+
         /** Bounds the memory of waiting requests; each is some kilobytes. */
         const val MAX_WAITING = 500
 
