--- a/core/src/test/kotlin/mustarddale/serving/residency/PlacementRunTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/residency/PlacementRunTest.kt
@@ -28,7 +28,7 @@
             late.filter { it.first <= nowMillis }.forEach { it.second() }
             late.removeIf { it.first <= nowMillis }
             engines.values.forEach { it.advance(nowMillis) }
-            if (random.nextInt(300) == 0) inventories = newInventories()
+            if (random.nextInt(600) == 0) inventories = newInventories()
             if (nowMillis % 250 == 0L) demand.report("i", samples(), nowMillis)
             inventories.forEach { (id, inventory) ->
                 inventory.settle(nowMillis)
@@ -76,7 +76,7 @@
         @ForAll @LongRange(min = 0, max = 1_000_000) seed: Long
     ) {
         val run = Run(seed)
-        for (nowMillis in 0L..40_000L step 50) {
+        for (nowMillis in 0L..16_000L step 10) {
             run.step(nowMillis)
             run.engines.forEach { (id, engine) ->
                 assertTrue(
