--- a/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
@@ -11,7 +11,6 @@
  * The settings of one serving instance.
  *
  * @property instance the machine's name, which stays when the process is replaced.
- * @property isFirstStart whether the whole fleet starts for the first time.
  * @property coldFactor by how much the rate of a cold server may be exceeded within one second.
  * @property coldExtraRequests what is added to that bound.
  * @property quotaSlackTokens by how much an account's use in one window may exceed its limit.
@@ -27,8 +26,6 @@
     public val peerPort: Int,
     public val metricsPort: Int,
     public val store: BackendAddress,
-    public val isFirstStart: Boolean,
-    public val heartbeatMillis: Long,
     public val coldFactor: Double,
     public val coldExtraRequests: Double,
     public val retryLimits: RetryLimits,
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/ServicePlan.kt
@@ -0,0 +1,29 @@
+package mustarddale.instance.serving.steward
+
+import mustarddale.serving.config.EngineSpec
+import mustarddale.serving.residency.AdapterPlanner
+import mustarddale.serving.residency.EngineInventory
+import mustarddale.serving.residency.EngineOrder
+import mustarddale.serving.residency.LoadPace
+import mustarddale.serving.residency.ModelDemand
+import mustarddale.serving.residency.ResidencyPlanner
+
+/** Plans for one model [service]; goes on from [before] if there was one. */
+internal class ServicePlan(
+    val service: String,
+    val spec: EngineSpec,
+    before: ServicePlan?,
+    knowsSinceMillis: Long,
+    nowMillis: Long
+) {
+    val planner = ResidencyPlanner(spec, knowsSinceMillis)
+    val adapterPlanner = AdapterPlanner(spec)
+    val demand: ModelDemand = before?.demand ?: ModelDemand()
+    val pace: LoadPace = before?.pace ?: LoadPace(spec.loadsPerSecond, nowMillis)
+    val inventories: HashMap<String, EngineInventory> = before?.inventories ?: HashMap()
+    val asking = HashSet<String>()
+
+    fun isFromStore(inventory: EngineInventory, order: EngineOrder): Boolean =
+        order.wanted.model !in inventory.hostCopies &&
+            order.wanted.model !in inventory.diskCopies
+}
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
@@ -13,22 +13,17 @@
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.WantedModel
-import mustarddale.serving.config.EngineSpec
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.quota.AccountQuota
 import mustarddale.serving.quota.Deal
 import mustarddale.serving.quota.ShareHolder
 import mustarddale.serving.quota.ShareLedger
 import mustarddale.serving.quota.ShareReport
-import mustarddale.serving.residency.AdapterPlanner
 import mustarddale.serving.residency.DemandSample
 import mustarddale.serving.residency.EngineInventory
 import mustarddale.serving.residency.EngineOrder
-import mustarddale.serving.residency.LoadPace
-import mustarddale.serving.residency.ModelDemand
 import mustarddale.serving.residency.OrderAnswer
 import mustarddale.serving.residency.OrderKind
-import mustarddale.serving.residency.ResidencyPlanner
 import mustarddale.time.Clock
 
 /** Leads while [leadership] says so. */
@@ -311,25 +306,6 @@
         }
     }
 
-    private class ServicePlan(
-        val service: String,
-        val spec: EngineSpec,
-        before: ServicePlan?,
-        knowsSinceMillis: Long,
-        nowMillis: Long
-    ) {
-        val planner = ResidencyPlanner(spec, knowsSinceMillis)
-        val adapterPlanner = AdapterPlanner(spec)
-        val demand: ModelDemand = before?.demand ?: ModelDemand()
-        val pace: LoadPace = before?.pace ?: LoadPace(spec.loadsPerSecond, nowMillis)
-        val inventories: HashMap<String, EngineInventory> = before?.inventories ?: HashMap()
-        val asking = HashSet<String>()
-
-        fun isFromStore(inventory: EngineInventory, order: EngineOrder): Boolean =
-            order.wanted.model !in inventory.hostCopies &&
-                order.wanted.model !in inventory.diskCopies
-    }
-
     private fun ModelSample.toSample() =
         DemandSample(WantedModel(model, adapter), requests, tokens, waiting)
 
