--- a/instance/src/main/kotlin/mustarddale/instance/peer/PeerMesh.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/peer/PeerMesh.kt
@@ -14,7 +14,6 @@
 import java.util.concurrent.Executors
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.async
@@ -40,9 +39,7 @@
 ) : AutoCloseable {
     private val thread = Executors.newSingleThreadExecutor { Thread(it, "peers").asDaemon() }
     private val dispatcher = thread.asCoroutineDispatcher()
-
-    // A selector blocks its thread while it waits, so it must not share the coroutines' thread.
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selector = SelectorManager(dispatcher)
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val dialled = ConcurrentHashMap<String, PeerLink>()
     private val dialling = ConcurrentHashMap.newKeySet<String>()
