Keep request targets as callers write them; split the forwarder; leader in place of steward

Cause of the known red in PathTest: the HTTP library normalises paths and queries on both sides. The target now travels in a header between two handlers below the library, which sees the root path only. Forwarding had three jobs: AnswerRelay and RequestLog are classes of their own now. The store's stand-in, the warm-up and the settings' variable moved into platform/; names: leader for steward, grant for deal, ModelWaiters, entry and warm-up commands.

--- a/cli/src/main/kotlin/mustarddale/cli/PlatformCommand.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/EntryCommand.kt
@@ -14,19 +14,21 @@
 
 /** Runs a serving instance on the users' platform until SIGTERM. */
 @OptIn(ExperimentalCli::class)
-internal class PlatformCommand :
-    Subcommand("platform", "Run an instance on the users' platform. Example: platform") {
+internal class EntryCommand :
+    Subcommand("entry", "Run an instance on the users' platform. Example: entry") {
     private val settings by option(
         ArgType.String,
         "settings",
         "s",
-        "Settings file (JSON); the variable $SETTINGS_VARIABLE names it if this is left out"
+        "Settings file (JSON); if left out, ${PlatformSettings.PATH_VARIABLE} names it"
     )
 
     override fun execute() {
-        val path = settings ?: System.getenv(SETTINGS_VARIABLE)
+        val path = settings ?: System.getenv(PlatformSettings.PATH_VARIABLE)
         if (path == null) {
-            System.err.println("neither --settings nor $SETTINGS_VARIABLE names a settings file")
+            System.err.println(
+                "neither --settings nor ${PlatformSettings.PATH_VARIABLE} names a settings file"
+            )
             kotlin.system.exitProcess(ExitCode.USAGE.code)
         }
         val text = readFile(path)
@@ -64,6 +66,5 @@
     private companion object {
         /** Settings may change without a signal; nothing in them is urgent. */
         const val CHECK_SECONDS = 2L
-        const val SETTINGS_VARIABLE = "MUSTARDDALE_CONFIG"
     }
 }
--- a/cli/src/main/kotlin/mustarddale/cli/Main.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/Main.kt
@@ -19,8 +19,8 @@
         AvailabilityCommand.forServers(),
         StatusCommand(),
         StandInCommand(),
-        PlatformCommand(),
-        RehearseCommand(),
+        EntryCommand(),
+        WarmUpCommand(),
         DemoCommand(),
         VersionCommand()
     )
--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
@@ -11,7 +11,7 @@
  * @property isResigning whether the writer has stopped leading.
  * @property sinceOrderMillis how long before this record the writer gave its last order; null if it
  *   gave none.
- * @property shareHolders instances that may hold shares dealt in this term or before.
+ * @property shareHolders instances that may hold shares granted in this term or before.
  */
 @Serializable
 public data class LeaderRecord(
--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
@@ -1,8 +1,8 @@
 /*
  * Divides the accounts' rates among instances by demand. A share counts as held from before it is
- * dealt until the instance has confirmed a smaller one, its process is replaced, or its lease has
- * run out; only what nobody can hold is dealt out. So the shares in force never add up to more than
- * the total, whatever messages are lost.
+ * granted until the instance has confirmed a smaller one, its process is replaced, or its lease has
+ * run out; only what nobody can hold is granted out. So the shares in force never add up to more
+ * than the total, whatever messages are lost.
  */
 package mustarddale.serving.quota
 
@@ -18,7 +18,7 @@
 )
 
 /** Shares for one instance. */
-public data class Deal(public val revision: Long, public val shares: Map<String, Double>)
+public data class ShareGrant(public val revision: Long, public val shares: Map<String, Double>)
 
 /**
  * What an instance may hold at most of any account, as a successor has to assume it.
@@ -35,9 +35,10 @@
 /**
  * The shares of all instances, kept by the leader; belongs to one thread.
  *
- * @param earlierHolders instances that may hold shares dealt by earlier leaders.
+ * @param earlierHolders instances that may hold shares granted by earlier leaders.
  * @param total what all shares add up to, at most 1.
- * @param leaseMillis how long a dealt share is valid, counted by the ledger from when it is dealt.
+ * @param leaseMillis how long a granted share is valid, counted by the ledger from when it is
+ *   granted.
  */
 public class ShareLedger(
     earlierHolders: Collection<ShareHolder>,
@@ -53,7 +54,7 @@
     /** How many instances may hold shares. */
     public val holderCount: Int get() = (holdings.keys + unresolved.keys).size
 
-    /** Returns what a successor has to assume, with room for the next deals. */
+    /** Returns what a successor has to assume, with room for the next grants. */
     public fun holders(nowMillis: Long): List<ShareHolder> {
         val accounts = holdings.values.flatMapTo(HashSet()) { it.demand.keys + it.accounts }
         val targets = accounts.map { targets(it) }
@@ -83,18 +84,18 @@
     }
 
     /**
-     * Deals shares of [accounts] to all reporting instances, up to what a successor will assume by
+     * Grants shares of [accounts] to all reporting instances, up to what a successor will assume by
      * [recorded].
      */
-    public fun deal(
+    public fun grant(
         accounts: Collection<String>,
         recorded: Collection<ShareHolder>,
         nowMillis: Long
-    ): Map<String, Deal> {
+    ): Map<String, ShareGrant> {
         forget(nowMillis)
         fadeDemand(nowMillis)
         val bounds = recorded.associate { it.instance to it.maxShare }
-        val dealt = holdings.mapValues { HashMap<String, Double>() }
+        val granted = holdings.mapValues { HashMap<String, Double>() }
         for (account in accounts) {
             val targets = targets(account)
             val taken = holdings.values.sumOf { it.most(account) }
@@ -105,10 +106,10 @@
                 val raise = (target - most).coerceIn(0.0, free.coerceAtLeast(0.0))
                 free -= raise
                 val share = minOf(target, most + raise)
-                if (share > 0) dealt.getValue(instance)[account] = share
+                if (share > 0) granted.getValue(instance)[account] = share
             }
         }
-        return dealt.mapValues { (instance, shares) -> holdings.getValue(instance).deal(shares) }
+        return granted.mapValues { (instance, shares) -> holdings.getValue(instance).grant(shares) }
     }
 
     private fun targets(account: String): Map<String, Double> {
@@ -137,18 +138,18 @@
 
     private class Holding(val run: String, inherited: Map<String, Double>) {
         var held = inherited
-        var sent = Deal(revision = 0, shares = inherited)
+        var sent = ShareGrant(revision = 0, shares = inherited)
         var heardAtMillis = 0L
         val demand = HashMap<String, Double>()
         val accounts: Set<String> get() = held.keys + sent.shares.keys
 
         fun most(account: String): Double = maxOf(held[account] ?: 0.0, sent.shares[account] ?: 0.0)
 
-        fun deal(shares: Map<String, Double>): Deal {
+        fun grant(shares: Map<String, Double>): ShareGrant {
             if (shares == sent.shares && sent.revision > 0) return sent
-            // What was sent before may be in force until this deal is confirmed.
+            // What was sent before may be in force until this grant is confirmed.
             held = (held.keys + sent.shares.keys).associateWith { most(it) }
-            sent = Deal(sent.revision + 1, shares)
+            sent = ShareGrant(sent.revision + 1, shares)
             return sent
         }
     }
--- a/core/src/test/kotlin/mustarddale/serving/quota/ShareLedgerTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/quota/ShareLedgerTest.kt
@@ -12,7 +12,7 @@
     private val leaseMillis = 10_000L
     private val account = "acme"
 
-    /** An instance that uses the shares it was last dealt until their lease ends. */
+    /** An instance that uses the shares it was last granted until their lease ends. */
     private class Member(val name: String) {
         var run = 0
         var term = 0
@@ -37,10 +37,10 @@
             mapOf("acme" to random.nextInt(1_000).toDouble())
         )
 
-        fun take(term: Int, deal: Deal, askedMillis: Long, leaseMillis: Long) {
+        fun take(term: Int, grant: ShareGrant, askedMillis: Long, leaseMillis: Long) {
             this.term = term
-            revision = deal.revision
-            shares = deal.shares
+            revision = grant.revision
+            shares = grant.shares
             untilMillis = askedMillis + leaseMillis
         }
     }
@@ -67,16 +67,16 @@
                 member.connectedTo = term
                 ledger.report(member.report(term, nowMillis, random), nowMillis)
                 if (random.nextInt(3) == 0) recorded = ledger.holders(nowMillis)
-                val deal = ledger.deal(listOf(account), recorded, nowMillis)[member.name]
-                if (deal == null || random.nextInt(5) == 0) return@forEach
+                val grant = ledger.grant(listOf(account), recorded, nowMillis)[member.name]
+                if (grant == null || random.nextInt(5) == 0) return@forEach
                 val run = member.run
                 val sentTerm = term
                 answers.add(
                     Triple(nowMillis + random.nextInt(300), term) {
                         val isCurrent = member.run == run && sentTerm == member.connectedTo
-                        val isNewer = sentTerm > member.term || deal.revision >= member.revision
+                        val isNewer = sentTerm > member.term || grant.revision >= member.revision
                         if (isCurrent && isNewer) {
-                            member.take(sentTerm, deal, nowMillis, leaseMillis)
+                            member.take(sentTerm, grant, nowMillis, leaseMillis)
                         }
                     }
                 )
@@ -97,14 +97,14 @@
         val both = listOf("a", "b").map { ShareHolder(it, 1.0, leaseMillis) }
         ledger.report(report("a", 0.0), 0)
         ledger.report(report("b", 0.0), 0)
-        val first = ledger.deal(listOf(account), both, 0)
+        val first = ledger.grant(listOf(account), both, 0)
         assertEquals(0.5, first.getValue("a").shares.getValue(account))
         ledger.report(report("a", 1_000.0, first.getValue("a").revision), 100)
         ledger.report(report("b", 0.0, first.getValue("b").revision), 100)
-        val second = ledger.deal(listOf(account), both, 100)
+        val second = ledger.grant(listOf(account), both, 100)
         assertEquals(0.5, second.getValue("a").shares.getValue(account), "b may still use its half")
         ledger.report(report("b", 0.0, second.getValue("b").revision), 200)
-        val third = ledger.deal(listOf(account), both, 200)
+        val third = ledger.grant(listOf(account), both, 200)
         assertTrue(third.getValue("a").shares.getValue(account) > 0.8)
     }
 
@@ -115,16 +115,16 @@
         val ledger = ShareLedger(listOf(gone), 1.0, leaseMillis, startMillis = 0)
         listOf(0L to 0.8, 3_900L to 0.8, 4_000L to 1.0).forEach { (nowMillis, expected) ->
             ledger.report(report("a", 10.0), nowMillis)
-            val deal = ledger.deal(listOf(account), recorded, nowMillis).getValue("a")
-            assertEquals(expected, deal.shares.getValue(account), 1e-9, "$nowMillis ms")
+            val grant = ledger.grant(listOf(account), recorded, nowMillis).getValue("a")
+            assertEquals(expected, grant.shares.getValue(account), 1e-9, "$nowMillis ms")
         }
     }
 
     @Test
-    fun `nothing is dealt to an instance that a successor would not know of`() {
+    fun `nothing is granted to an instance that a successor would not know of`() {
         val ledger = ShareLedger(emptyList(), 1.0, leaseMillis, 0)
         ledger.report(report("a", 10.0), 0)
-        val deals = ledger.deal(listOf(account), emptyList(), 0)
-        assertEquals(emptyMap(), deals.getValue("a").shares)
+        val grants = ledger.grant(listOf(account), emptyList(), 0)
+        assertEquals(emptyMap(), grants.getValue("a").shares)
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -37,15 +37,16 @@
 import mustarddale.instance.serving.forward.CallerService
 import mustarddale.instance.serving.forward.ConnectionWatch
 import mustarddale.instance.serving.forward.Forwarder
+import mustarddale.instance.serving.forward.RequestTarget
+import mustarddale.instance.serving.leader.ElectionDuty
+import mustarddale.instance.serving.leader.EngineOrders
+import mustarddale.instance.serving.leader.LeaderDuty
+import mustarddale.instance.serving.leader.LeaderLink
+import mustarddale.instance.serving.leader.MemberDuty
+import mustarddale.instance.serving.leader.TokenLoans
 import mustarddale.instance.serving.protocol.ServingProtocol
 import mustarddale.instance.serving.settings.ServingSettings
 import mustarddale.instance.serving.state.ServingState
-import mustarddale.instance.serving.steward.EngineOrders
-import mustarddale.instance.serving.steward.LeadershipDuty
-import mustarddale.instance.serving.steward.MemberDuty
-import mustarddale.instance.serving.steward.StewardDuty
-import mustarddale.instance.serving.steward.StewardLink
-import mustarddale.instance.serving.steward.TokenLoans
 import mustarddale.serving.backend.BackendChoice
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.time.Clock
@@ -105,8 +106,8 @@
         host = settings.host,
         port = settings.peerPort
     )
-    private val leadership = LeadershipDuty(platform.log, self, clock, random)
-    private val steward = StewardDuty(
+    private val leadership = ElectionDuty(platform.log, self, clock, random)
+    private val leader = LeaderDuty(
         scope,
         state,
         leadership,
@@ -119,7 +120,7 @@
     private val member = MemberDuty(state, feeds.backends, self.instance, self.run, clock)
     private val loans = TokenLoans(clock)
     private val link =
-        StewardLink(self, leadership, member, steward, loans, feeds.backends, dispatcher)
+        LeaderLink(self, leadership, member, leader, loans, feeds.backends, dispatcher)
     private val forwarder = Forwarder(
         state,
         BackendChoice(random),
@@ -144,6 +145,7 @@
         .http(InetSocketAddress(settings.host, settings.callerPort))
         .http(InetSocketAddress(settings.host, settings.readyPort))
         .http(InetSocketAddress(settings.host, settings.metricsPort))
+        .childChannelPipelineCustomizer(RequestTarget::keepIn)
         .requestTimeoutMillis(0)
         .maxRequestLength(MAX_REQUEST_BYTES)
         .idleTimeoutMillis(CALLER_IDLE_MILLIS)
@@ -170,8 +172,8 @@
 
     /** Starts to serve. */
     public fun start() {
-        state.onUrgentDemand = link::hurry
-        steward.onContentsChanged = link::contentsChanged
+        state.onUrgentDemand = link::reportNow
+        leader.onContentsChanged = link::contentsChanged
         feeds.backends.onNews = link::contentsChanged
         Metrics.addRegistry(metrics)
         Metrics.gauge("mustarddale.requests.open", callers) { it.openRequests.toDouble() }
@@ -232,7 +234,7 @@
         leadership.leave()
         val endMillis = startMillis + settings.termGraceMillis - EXIT_MARGIN_MILLIS
         delay(LAST_ADMISSION_MILLIS)
-        state.waitingRoom.close()
+        state.modelWaiters.close()
         var quietSince = clock.monotonicMillis()
         while (clock.monotonicMillis() < endMillis) {
             if (callers.openRequests > 0) quietSince = clock.monotonicMillis()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -11,12 +11,10 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
-import io.netty.channel.ChannelFutureListener
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.launch
@@ -24,9 +22,9 @@
 import mustarddale.error.Outcome
 import mustarddale.error.Refusal
 import mustarddale.instance.serving.DecisionLog
+import mustarddale.instance.serving.leader.TokenLoans
 import mustarddale.instance.serving.protocol.CallerHead
 import mustarddale.instance.serving.protocol.ServingProtocol
-import mustarddale.instance.serving.steward.TokenLoans
 import mustarddale.time.Clock
 
 /** Serves callers; runs in [scope], whose dispatcher is the event loop. */
@@ -54,19 +52,11 @@
             handle(ctx, req, response, arrivedAtMillis)
         }
         response.whenComplete().whenComplete { _, _ -> job.cancel() }
-        cancelOnClose(ctx, job)
+        ctx.log().partial().channel()?.let { cancelOnClose(it, job) }
         job.invokeOnCompletion { openRequests-- }
         return response
     }
 
-    /** The library tells of a closed connection only after a second. */
-    private fun cancelOnClose(ctx: ServiceRequestContext, job: Job) {
-        val closed = ctx.log().partial().channel()?.closeFuture() ?: return
-        val listener = ChannelFutureListener { job.cancel() }
-        closed.addListener(listener)
-        job.invokeOnCompletion { closed.removeListener(listener) }
-    }
-
     @Suppress("TooGenericExceptionCaught")
     private suspend fun handle(
         ctx: ServiceRequestContext,
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ClosedConnection.kt
@@ -0,0 +1,15 @@
+package mustarddale.instance.serving.forward
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import kotlinx.coroutines.Job
+
+/**
+ * Cancels [job] as soon as [channel] closes. The HTTP library tells of a closed connection only
+ * after a second.
+ */
+internal fun cancelOnClose(channel: Channel, job: Job) {
+    val listener = ChannelFutureListener { job.cancel() }
+    channel.closeFuture().addListener(listener)
+    job.invokeOnCompletion { channel.closeFuture().removeListener(listener) }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ConnectionWatch.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ConnectionWatch.kt
@@ -7,9 +7,11 @@
 import com.linecorp.armeria.client.ConnectionPoolListener
 import com.linecorp.armeria.common.SessionProtocol
 import io.netty.channel.Channel
+import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.util.AttributeKey
@@ -17,8 +19,8 @@
 import java.io.IOException
 import java.net.InetSocketAddress
 
-/** Watches one connection; belongs to its event loop. */
-public class ConnectionWatch : ChannelInboundHandlerAdapter() {
+/** Watches one connection, and restores request targets on it; belongs to its event loop. */
+public class ConnectionWatch : ChannelDuplexHandler() {
     private var endsWithConnection = false
     private var hasFailed = false
 
@@ -33,6 +35,11 @@
         ctx.fireChannelRead(msg)
     }
 
+    override fun write(ctx: ChannelHandlerContext, msg: Any, promise: ChannelPromise) {
+        if (msg is HttpRequest) RequestTarget.restore(msg)
+        ctx.write(msg, promise)
+    }
+
     @Deprecated("as in the interface")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
         if (cause is IOException) hasFailed = true
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -4,17 +4,9 @@
  */
 package mustarddale.instance.serving.forward
 
-import com.linecorp.armeria.common.HttpData
-import io.micrometer.core.instrument.Metrics
-import io.micrometer.core.instrument.Timer
-import java.time.Duration
-import java.util.concurrent.TimeUnit
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.reactive.collect
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.error.ErrorKind
 import mustarddale.error.Refusal
-import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.protocol.Hop
 import mustarddale.instance.serving.state.Awaited
 import mustarddale.serving.backend.Backend
@@ -37,11 +29,9 @@
     private val clock = forwarder.clock
     private val excluded = HashSet<String>()
     private var runs = 0
-    private var arrivals = 0
     private var mayBeRunning = false
-    private var waitedMillis = 0L
-    private var firstMillis = 0L
-    private var events = EventTracker(request.head.lastEventId)
+    private val relay = AnswerRelay(request, writer, protocol)
+    private val log = RequestLog(request, state.configuration?.version, clock)
 
     suspend fun run() {
         request.head.wanted?.let {
@@ -61,17 +51,10 @@
             val nowMillis = clock.monotonicMillis()
             val wanted = request.head.wanted
             val candidates = state.candidates(request.service, wanted)
-            when (
-                val made = choice.choose(
-                    candidates,
-                    wanted,
-                    excluded,
-                    homeDomain,
-                    nowMillis
-                )
-            ) {
+            val made = choice.choose(candidates, wanted, excluded, homeDomain, nowMillis)
+            when (made) {
                 is Choice.Chosen -> {
-                    if (arrivals == 0 || mayRetry(nowMillis)) return made.backend
+                    if (log.arrivals == 0 || mayRetry(nowMillis)) return made.backend
                     refuseOrFail("retry budget is used up")
                     return null
                 }
@@ -98,15 +81,15 @@
         val awaited = Awaited(request.service, checkNotNull(request.head.wanted))
         val leftMillis = request.giveUpAtMillis - nowMillis
         val waitMillis = minOf(MAX_MODEL_WAIT_MILLIS, leftMillis / 2)
-        if (!state.waitingRoom.hasRoom(MAX_WAITING)) {
+        if (!state.modelWaiters.hasRoom(MAX_WAITING)) {
             refuseOrFail("too many requests wait for models")
             return false
         }
         state.onUrgentDemand()
-        val isThere = withTimeoutOrNull(waitMillis) { state.waitingRoom.await(awaited) } == true
-        waitedMillis += clock.monotonicMillis() - nowMillis
+        val isThere = withTimeoutOrNull(waitMillis) { state.modelWaiters.await(awaited) } == true
+        log.waitedMillis += clock.monotonicMillis() - nowMillis
         if (isThere) return true
-        refuseOrFail("model ${awaited.wanted} was not loaded after $waitedMillis ms")
+        refuseOrFail("model ${awaited.wanted} was not loaded after ${log.waitedMillis} ms")
         return false
     }
 
@@ -122,7 +105,7 @@
             val headers = protocol.forward(request.headers, hop(backend))
             val start =
                 exchange.send(backend.address, request.head.requestId, headers, request.body)
-            logStart(backend, start, clock.monotonicMillis() - sentMillis)
+            log.sent(backend, start, sentMillis)
             val attempt = settle(backend, load, start)
             ending = attempt.ending
             return attempt.isFinal
@@ -135,7 +118,6 @@
 
     private suspend fun settle(backend: Backend, load: BackendLoad, start: ExchangeStart): Attempt {
         val nowMillis = clock.monotonicMillis()
-        if (start !is ExchangeStart.NotSent) arrivals++
         return when (start) {
             is ExchangeStart.NotSent -> {
                 mayBeRunning = false
@@ -156,7 +138,6 @@
 
             is ExchangeStart.Answered -> {
                 runs++
-                if (firstMillis == 0L) firstMillis = nowMillis - request.arrivedAtMillis
                 start.head.load?.let { load.told(it, nowMillis) }
                 answered(load, start, nowMillis)
             }
@@ -173,11 +154,10 @@
             start.body.abort()
             return Attempt(Ending.FAILED, isFinal = false)
         }
-        val failure = relay(start)
+        val failure = relay.relay(start)
         // The server answered, so a cut within the answer does not show that it is gone.
         if (failure != null) return Attempt(Ending.FAILED, endIfNotRepeatable(failure))
-        firstByteTimer().record(firstMillis, TimeUnit.MILLISECONDS)
-        logEnd("finished", status.codeAsText())
+        log.finished(status.codeAsText())
         val ending = if (status.isServerError) Ending.FAILED else Ending.GOOD
         return Attempt(ending, isFinal = true)
     }
@@ -190,9 +170,7 @@
         load.failureScore(nowMillis) >= DOUBTED_SCORE &&
             request.route.repeatability == Repeatability.IDEMPOTENT &&
             runs < request.route.maxAttempts && hasAnother() &&
-            state.budgetOf(
-                request.service
-            ).mayRetry(state.instanceCount, clock.monotonicMillis())
+            state.budgetOf(request.service).mayRetry(state.instanceCount, nowMillis)
 
     private fun hasAnother(): Boolean = state.candidates(request.service, request.head.wanted).any {
         it.backend.id !in excluded
@@ -203,66 +181,9 @@
         leftMillis = (request.giveUpAtMillis - clock.monotonicMillis()).coerceAtLeast(1),
         account = request.account?.name,
         priority = request.priority,
-        lastEventId = events.lastEventId
+        lastEventId = relay.lastEventId
     )
 
-    /** Relays an answer; returns why it broke, null if it is whole. */
-    private suspend fun relay(start: ExchangeStart.Answered): String? {
-        val isResumed = writer.hasBegun
-        val isSuccess = start.headers.status().isSuccess
-        if (isResumed &&
-            !isSuccess
-        ) {
-            return "the resumed stream was answered ${start.headers.status()}"
-        }
-        if (!request.route.isStream || !isSuccess) return relayWhole(start)
-        if (!isResumed) writer.head(protocol.answer(start.headers))
-        return relayEvents(start)
-    }
-
-    @Suppress("TooGenericExceptionCaught")
-    private suspend fun relayWhole(start: ExchangeStart.Answered): String? {
-        val parts = ArrayList<HttpData>()
-        try {
-            start.body.collect { parts.add(it) }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: Exception) {
-            return "answer cut: $e"
-        }
-        if (start.connection?.wasCut == true) return "the connection was reset within the answer"
-        writer.head(protocol.answer(start.headers))
-        parts.forEach { writer.part(it) }
-        writer.complete()
-        return null
-    }
-
-    @Suppress("TooGenericExceptionCaught")
-    private suspend fun relayEvents(start: ExchangeStart.Answered): String? {
-        val isResumable = request.route.repeatability == Repeatability.RESUMABLE
-        try {
-            start.body.collect { data ->
-                val whole = if (isResumable) events.take(data.array()) else data.array()
-                if (whole.isNotEmpty()) writer.part(HttpData.wrap(whole))
-            }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: Exception) {
-            events.dropPart()
-            return "stream cut: $e"
-        }
-        if (start.connection?.wasCut == true) {
-            events.dropPart()
-            return "the connection was reset within the stream"
-        }
-        if (events.hasPart) {
-            events.dropPart()
-            return "the stream ended within an event"
-        }
-        writer.complete()
-        return null
-    }
-
     /** After a loss: false if another server may try, else ends the answer and returns true. */
     private fun endIfNotRepeatable(reason: String): Boolean {
         val repeatability = request.route.repeatability
@@ -281,12 +202,12 @@
         request.account?.let { state.quota.putBack(it, request.tokens) }
         val refusal =
             Refusal(ErrorKind.NO_BACKEND, reason, retryAfterMillis = retryAfterMillis())
-        logEnd("refused", reason)
+        log.ended("refused", reason)
         writer.refuse(refusal)
     }
 
     private fun failed(reason: String) {
-        logEnd("failed", reason)
+        log.ended("failed", reason)
         if (writer.hasBegun) {
             writer.breakOff(reason)
         } else {
@@ -298,7 +219,7 @@
         if (runs == 0 && !mayBeRunning) {
             refuse("no time was left before a server took the request")
         } else {
-            logEnd("timed_out", "no time left")
+            log.ended("timed_out", "no time left")
             if (writer.hasBegun) {
                 writer.breakOff("timed out")
             } else {
@@ -310,49 +231,6 @@
     private fun retryAfterMillis(): Long = RETRY_AFTER_MILLIS +
         Math.floorMod(request.head.requestId.hashCode(), RETRY_SPREAD_MILLIS)
 
-    /** From a request's arrival to the head of its answer. */
-    private fun firstByteTimer(): Timer = Timer.builder("mustarddale.first.byte")
-        .tag("service", request.service)
-        .publishPercentileHistogram()
-        .minimumExpectedValue(Duration.ofMillis(1))
-        .maximumExpectedValue(Duration.ofSeconds(MAX_SECONDS))
-        .register(Metrics.globalRegistry)
-
-    private fun logStart(backend: Backend, start: ExchangeStart, tookMillis: Long) {
-        DecisionLog.record(
-            "sent",
-            "request" to request.head.requestId,
-            "backend" to backend.id,
-            "wanted" to request.head.wanted,
-            "tookMillis" to tookMillis,
-            "outcome" to outcomeOf(start)
-        )
-    }
-
-    private fun outcomeOf(start: ExchangeStart): String = when (start) {
-        is ExchangeStart.Answered -> start.headers.status().codeAsText()
-        is ExchangeStart.NotRun -> if (start.isAbsent) "not here" else "not run"
-        is ExchangeStart.NotSent -> "not sent: ${start.reason}"
-        is ExchangeStart.Lost -> "lost: ${start.reason}"
-    }
-
-    private fun logEnd(event: String, reason: String) {
-        DecisionLog.record(
-            event,
-            "request" to request.head.requestId,
-            "route" to request.route.name,
-            "service" to request.service,
-            "wanted" to request.head.wanted,
-            "account" to request.account?.name,
-            "reason" to reason,
-            "afterMillis" to clock.monotonicMillis() - request.arrivedAtMillis,
-            "waitedMillis" to waitedMillis,
-            "firstMillis" to firstMillis,
-            "arrivals" to arrivals,
-            "version" to state.configuration?.version
-        )
-    }
-
     private companion object {
         /** A model loads within 4.2 s from the weight store, and may queue for it (site pages). */
         const val MAX_MODEL_WAIT_MILLIS = 6_000L
@@ -360,9 +238,6 @@
         /** Above what services fail by themselves (14 in 100 of one kind of request). */
         const val DOUBTED_SCORE = 0.25
 
-        /** The longest deadline of the sites is 20 s. */
-        const val MAX_SECONDS = 20L
-
         /** Bounds the memory of waiting requests; each is some kilobytes. */
         const val MAX_WAITING = 500
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/LeadershipDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ElectionDuty.kt
@@ -2,7 +2,7 @@
  * Keeps this instance's part in the election: reads and appends the leadership log as the election
  * asks for, and tells who leads. It runs on the event loop.
  */
-package mustarddale.instance.serving.steward
+package mustarddale.instance.serving.leader
 
 import java.util.random.RandomGenerator
 import kotlin.math.abs
@@ -31,7 +31,7 @@
 )
 
 /** Takes part in the election as [self], which names this process and its address. */
-public class LeadershipDuty(
+public class ElectionDuty(
     private val log: TopicLog,
     private val self: LeaderRecord,
     private val clock: Clock,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
@@ -1,9 +1,9 @@
 /*
- * The work of the leader: deals shares of the accounts' rates and orders models and adapters onto
+ * The work of the leader: grants shares of the accounts' rates and orders models and adapters onto
  * engines. All of it can be rebuilt from the instances' reports and the engines', so a new leader
  * needs nothing but the last leadership record. It runs on the event loop.
  */
-package mustarddale.instance.serving.steward
+package mustarddale.instance.serving.leader
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -15,7 +15,7 @@
 import mustarddale.serving.backend.WantedModel
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.quota.AccountQuota
-import mustarddale.serving.quota.Deal
+import mustarddale.serving.quota.ShareGrant
 import mustarddale.serving.quota.ShareHolder
 import mustarddale.serving.quota.ShareLedger
 import mustarddale.serving.quota.ShareReport
@@ -27,32 +27,32 @@
 import mustarddale.time.Clock
 
 /** Leads while [leadership] says so. */
-public class StewardDuty(
+public class LeaderDuty(
     private val scope: CoroutineScope,
     private val state: ServingState,
-    private val leadership: LeadershipDuty,
+    private val leadership: ElectionDuty,
     private val orders: EngineOrders,
     private val holder: String,
     private val orderLeaseMillis: Long,
     private val clock: Clock
 ) {
-    private var reign: Reign? = null
+    private var newest: Leadership? = null
     private var lastOrderMillis: Long? = null
 
     init {
         leadership.onWon = { begin(it) }
         leadership.describe = { describe(it) }
-        leadership.onRecorded = { reign?.recordedHolders = it.shareHolders }
+        leadership.onRecorded = { newest?.recordedHolders = it.shareHolders }
     }
 
     /** Counts changes of engines' contents; grows with each. */
-    public val contentsVersion: Long get() = reign?.contentsVersion ?: 0
+    public val contentsVersion: Long get() = newest?.contentsVersion ?: 0
 
     /** Called when engines' contents have changed. */
     public var onContentsChanged: () -> Unit = {}
 
     /** Takes in a report; returns false if this instance does not lead. */
-    public fun report(report: StewardMessage.Report): Boolean {
+    public fun report(report: LeaderMessage.Report): Boolean {
         val current = current() ?: return false
         current.report(report)
         return true
@@ -62,20 +62,20 @@
      * Returns what to tell [instance], with what has changed at engines since [seenVersion]; null
      * if this instance does not lead or has not heard from [instance].
      */
-    public fun stateFor(instance: String, answers: Long, seenVersion: Long): StewardMessage.State? =
+    public fun stateFor(instance: String, answers: Long, seenVersion: Long): LeaderMessage.State? =
         current()?.stateFor(instance, answers, seenVersion)
 
     /** Takes tokens out of the pool; null if this instance does not lead. */
-    public fun lend(wanted: StewardMessage.TokensWanted): StewardMessage.TokensGiven? =
+    public fun lend(wanted: LeaderMessage.TokensWanted): LeaderMessage.TokensGiven? =
         current()?.lend(wanted)
 
-    private fun current(): Reign? {
+    private fun current(): Leadership? {
         val term = leadership.ownTerm()
-        return reign?.takeIf { it.term == term }
+        return newest?.takeIf { it.term == term }
     }
 
     private fun begin(won: WonTerm) {
-        reign?.job?.cancel()
+        newest?.job?.cancel()
         val predecessor = won.predecessor
         val mayOrderAtMillis = when {
             predecessor == null || predecessor.instance == holder -> won.sinceMillis
@@ -85,7 +85,7 @@
 
             else -> won.sinceMillis + orderLeaseMillis
         }
-        reign = Reign(won, mayOrderAtMillis).also { it.start() }
+        newest = Leadership(won, mayOrderAtMillis).also { it.start() }
     }
 
     private fun describe(record: LeaderRecord): LeaderRecord = record.copy(
@@ -94,7 +94,7 @@
             ?: leadership.leader()?.record?.shareHolders.orEmpty()
     )
 
-    private inner class Reign(won: WonTerm, private val mayOrderAtMillis: Long) {
+    private inner class Leadership(won: WonTerm, private val mayOrderAtMillis: Long) {
         val term = won.term
         private val startMillis = won.sinceMillis
         var recordedHolders: List<ShareHolder> = won.predecessor?.shareHolders.orEmpty()
@@ -109,13 +109,13 @@
         private val services = HashMap<String, ServicePlan>()
         private val versions = HashMap<String, Long>()
         private val contents = HashMap<String, EngineContents>()
-        private var deals = emptyMap<String, Deal>()
-        private var dealtAtMillis = 0L
+        private var grants = emptyMap<String, ShareGrant>()
+        private var grantedAtMillis = 0L
 
         fun start() {
             job = scope.launch {
                 while (true) {
-                    if (current() === this@Reign) tick()
+                    if (current() === this@Leadership) tick()
                     delay(TICK_MILLIS)
                 }
             }
@@ -133,7 +133,7 @@
             return next
         }
 
-        fun report(report: StewardMessage.Report) {
+        fun report(report: LeaderMessage.Report) {
             val nowMillis = clock.monotonicMillis()
             ledger.report(shareReport(report), nowMillis)
             var isUrgent = false
@@ -145,7 +145,7 @@
             if (isUrgent) planOrders(nowMillis)
         }
 
-        fun lend(wanted: StewardMessage.TokensWanted): StewardMessage.TokensGiven {
+        fun lend(wanted: LeaderMessage.TokensWanted): LeaderMessage.TokensGiven {
             val nowMillis = clock.monotonicMillis()
             val account = state.configuration?.accounts?.get(wanted.account)
             val waitMillis = when {
@@ -153,10 +153,10 @@
                 pool.tryTake(account, wanted.tokens, nowMillis) -> 0
                 else -> pool.waitMillis(account, wanted.tokens, nowMillis).coerceAtLeast(1)
             }
-            return StewardMessage.TokensGiven(wanted.number, waitMillis)
+            return LeaderMessage.TokensGiven(wanted.number, waitMillis)
         }
 
-        private fun shareReport(report: StewardMessage.Report) = ShareReport(
+        private fun shareReport(report: LeaderMessage.Report) = ShareReport(
             report.instance,
             report.run,
             if (report.term == term) report.confirmedRevision else 0,
@@ -164,13 +164,13 @@
             report.wantedTokens
         )
 
-        fun stateFor(instance: String, answers: Long, seenVersion: Long): StewardMessage.State {
-            val deal = deals[instance]
-            return StewardMessage.State(
+        fun stateFor(instance: String, answers: Long, seenVersion: Long): LeaderMessage.State {
+            val grant = grants[instance]
+            return LeaderMessage.State(
                 term = term,
                 answers = answers,
-                revision = deal?.revision ?: 0,
-                shares = deal?.shares.orEmpty(),
+                revision = grant?.revision ?: 0,
+                shares = grant?.shares.orEmpty(),
                 shareLeaseMillis = SHARE_LEASE_MILLIS,
                 instances = ledger.holderCount,
                 engines = contents.values.filter { (versions[it.engine] ?: 0) > seenVersion }
@@ -179,10 +179,10 @@
 
         private fun tick() {
             val nowMillis = clock.monotonicMillis()
-            if (nowMillis - dealtAtMillis >= DEAL_MILLIS) {
-                dealtAtMillis = nowMillis
+            if (nowMillis - grantedAtMillis >= GRANT_MILLIS) {
+                grantedAtMillis = nowMillis
                 val accounts = state.configuration?.accounts?.keys.orEmpty()
-                deals = ledger.deal(accounts, recordedHolders, nowMillis)
+                grants = ledger.grant(accounts, recordedHolders, nowMillis)
                 val all = state.configuration?.accounts?.values.orEmpty()
                 pool.setShares(accounts.associateWith { POOL_PART }, all, nowMillis)
             }
@@ -286,7 +286,7 @@
             scope.launch {
                 delay((arrivalMillis - nowMillis).coerceAtLeast(1))
                 if (inventory.settle(clock.monotonicMillis())) publish(inventory)
-                if (current() === this@Reign) planOrders(clock.monotonicMillis())
+                if (current() === this@Leadership) planOrders(clock.monotonicMillis())
             }
         }
 
@@ -314,7 +314,7 @@
         const val TICK_MILLIS = 50L
 
         /** Demand of an instance is told four times a second. */
-        const val DEAL_MILLIS = 250L
+        const val GRANT_MILLIS = 250L
 
         /** Kept by the leader for instances whose requests come in clumps. */
         const val POOL_PART = 0.5
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardLink.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLink.kt
@@ -3,7 +3,7 @@
  * messages are read and written on the event loop, where all decisions are made. A connection that
  * is silent for several reports is given up, because the other end may be gone without a word.
  */
-package mustarddale.instance.serving.steward
+package mustarddale.instance.serving.leader
 
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
@@ -35,20 +35,20 @@
 import mustarddale.serving.leadership.LeaderRecord
 
 /** Connects the instance [self] with its leader; [eventLoop] owns all of these. */
-public class StewardLink(
+public class LeaderLink(
     private val self: LeaderRecord,
-    private val leadership: LeadershipDuty,
+    private val leadership: ElectionDuty,
     private val member: MemberDuty,
-    private val steward: StewardDuty,
+    private val leader: LeaderDuty,
     private val loans: TokenLoans,
     private val backends: KeyedFeed,
     eventLoop: CoroutineDispatcher
 ) : AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
     private val scope = CoroutineScope(SupervisorJob() + eventLoop)
-    private val codec = FrameCodec(StewardMessage.serializer())
+    private val codec = FrameCodec(LeaderMessage.serializer())
     private val urgent = Channel<Unit>(Channel.CONFLATED)
-    private val asks = ArrayDeque<StewardMessage.TokensWanted>()
+    private val asks = ArrayDeque<LeaderMessage.TokensWanted>()
     private var isConnected = false
     private val changed = LinkedHashSet<Channel<Unit>>()
 
@@ -60,7 +60,7 @@
     }
 
     /** Reports at once, because requests wait for the leader. */
-    public fun hurry() {
+    public fun reportNow() {
         urgent.trySend(Unit)
     }
 
@@ -74,8 +74,8 @@
         selector.close()
     }
 
-    private fun ask(wanted: StewardMessage.TokensWanted): Boolean {
-        val given = steward.lend(wanted)
+    private fun ask(wanted: LeaderMessage.TokensWanted): Boolean {
+        val given = leader.lend(wanted)
         if (given != null) {
             loans.answered(given)
             return true
@@ -117,8 +117,8 @@
 
     private suspend fun followSelf() {
         val report = member.report()
-        val isLeading = steward.report(report)
-        steward.stateFor(self.instance, report.number, seenVersion = 0)?.let { member.apply(it) }
+        val isLeading = leader.report(report)
+        leader.stateFor(self.instance, report.number, seenVersion = 0)?.let { member.apply(it) }
         if (!isLeading) suspectLeader()
         withTimeoutOrNull(if (isLeading) REPORT_MILLIS else 1) { urgent.receive() }
     }
@@ -157,13 +157,13 @@
         isConnected = true
         while (true) {
             when (val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }) {
-                is StewardMessage.State -> {
+                is LeaderMessage.State -> {
                     leadership.heardLeader(message.term)
                     member.apply(message)
                 }
 
-                is StewardMessage.TokensGiven -> loans.answered(message)
-                is StewardMessage.NotLeading -> throw IOException("the other end does not lead")
+                is LeaderMessage.TokensGiven -> loans.answered(message)
+                is LeaderMessage.NotLeading -> throw IOException("the other end does not lead")
                 else -> throw IOException("$message from the leader")
             }
         }
@@ -181,8 +181,8 @@
         val output = socket.openWriteChannel(autoFlush = false)
         val input = socket.openReadChannel()
         val signal = Channel<Unit>(Channel.CONFLATED)
-        var lastReport: StewardMessage.Report? = null
-        val answers = ArrayDeque<StewardMessage>()
+        var lastReport: LeaderMessage.Report? = null
+        val answers = ArrayDeque<LeaderMessage>()
         changed.add(signal)
         try {
             launch {
@@ -195,13 +195,13 @@
             }
             while (true) {
                 when (val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }) {
-                    is StewardMessage.Report -> {
-                        steward.report(message)
+                    is LeaderMessage.Report -> {
+                        leader.report(message)
                         lastReport = message
                     }
 
-                    is StewardMessage.TokensWanted ->
-                        answers.addLast(steward.lend(message) ?: StewardMessage.NotLeading)
+                    is LeaderMessage.TokensWanted ->
+                        answers.addLast(leader.lend(message) ?: LeaderMessage.NotLeading)
 
                     else -> throw IOException("$message from an instance")
                 }
@@ -217,13 +217,13 @@
         private var seenVersion = 0L
         private var sentOffset: Long? = null
 
-        suspend fun tell(report: StewardMessage.Report) {
-            val state = steward.stateFor(report.instance, report.number, seenVersion)
+        suspend fun tell(report: LeaderMessage.Report) {
+            val state = leader.stateFor(report.instance, report.number, seenVersion)
             if (state == null) {
-                codec.write(output, StewardMessage.NotLeading)
+                codec.write(output, LeaderMessage.NotLeading)
                 return
             }
-            seenVersion = steward.contentsVersion
+            seenVersion = leader.contentsVersion
             val from = listOfNotNull(sentOffset, report.backendOffset).maxOrNull()
             val news = from?.let { backends.newsSince(it) }
             if (news != null) sentOffset = news.fromOffset + news.records.size
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/StewardMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -3,7 +3,7 @@
  * instance to the leader. Nothing is sent between other instances, so the number of messages grows
  * with the number of instances and not with its square.
  */
-package mustarddale.instance.serving.steward
+package mustarddale.instance.serving.leader
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
@@ -12,7 +12,7 @@
 
 /** A message between an instance and the leader. */
 @Serializable
-public sealed interface StewardMessage {
+public sealed interface LeaderMessage {
     /**
      * What an instance tells.
      *
@@ -32,7 +32,7 @@
         public val wantedTokens: Map<String, Double>,
         public val backendOffset: Long?,
         public val demand: List<ServiceDemand>
-    ) : StewardMessage
+    ) : LeaderMessage
 
     /**
      * What the leader tells.
@@ -53,7 +53,7 @@
         public val instances: Int,
         public val engines: List<EngineContents>,
         public val backends: BackendNews? = null
-    ) : StewardMessage
+    ) : LeaderMessage
 
     /** An instance asks for [tokens] of [account] out of the leader's pool. */
     @Serializable
@@ -62,18 +62,18 @@
         public val number: Long,
         public val account: String,
         public val tokens: Double
-    ) : StewardMessage
+    ) : LeaderMessage
 
     /** The tokens are given if [waitMillis] is 0, else they may be there after that. */
     @Serializable
     @SerialName("tokens-given")
     public data class TokensGiven(public val number: Long, public val waitMillis: Long) :
-        StewardMessage
+        LeaderMessage
 
     /** The other end does not lead. */
     @Serializable
     @SerialName("not-leading")
-    public data object NotLeading : StewardMessage
+    public data object NotLeading : LeaderMessage
 }
 
 /** The demand for one service's models at one instance. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/MemberDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberDuty.kt
@@ -2,7 +2,7 @@
  * This instance's side towards the leader: what it reports, and what it takes over. It runs on the
  * event loop.
  */
-package mustarddale.instance.serving.steward
+package mustarddale.instance.serving.leader
 
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.feed.FeedNews
@@ -26,11 +26,11 @@
     private var number = 0L
 
     /** Returns the next report. */
-    public fun report(): StewardMessage.Report {
+    public fun report(): LeaderMessage.Report {
         number++
         sentMillis[number] = clock.monotonicMillis()
         while (sentMillis.size > MAX_OPEN_REPORTS) sentMillis.remove(sentMillis.keys.first())
-        return StewardMessage.Report(
+        return LeaderMessage.Report(
             instance = instance,
             run = run,
             number = number,
@@ -57,7 +57,7 @@
     }
 
     /** Takes over what the leader tells; messages of an earlier leader are ignored. */
-    public fun apply(message: StewardMessage.State) {
+    public fun apply(message: LeaderMessage.State) {
         if (message.term < term) return
         val nowMillis = clock.monotonicMillis()
         if (message.term > term) {
@@ -83,7 +83,7 @@
         if (message.engines.isNotEmpty()) state.wakeWaiting()
     }
 
-    private fun takeShares(message: StewardMessage.State, nowMillis: Long) {
+    private fun takeShares(message: LeaderMessage.State, nowMillis: Long) {
         val askedMillis = sentMillis[message.answers] ?: return
         if (message.revision == 0L) return
         sharesUntilMillis = maxOf(sharesUntilMillis, askedMillis + message.shareLeaseMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/ServicePlan.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ServicePlan.kt
@@ -1,4 +1,4 @@
-package mustarddale.instance.serving.steward
+package mustarddale.instance.serving.leader
 
 import mustarddale.serving.config.EngineSpec
 import mustarddale.serving.residency.AdapterPlanner
--- a/instance/src/main/kotlin/mustarddale/instance/serving/steward/TokenLoans.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/TokenLoans.kt
@@ -3,7 +3,7 @@
  * takes them out of its pool before it answers, so a lost answer loses tokens and never makes any.
  * It runs on the event loop.
  */
-package mustarddale.instance.serving.steward
+package mustarddale.instance.serving.leader
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
@@ -16,7 +16,7 @@
     private var lastNumber = 0L
 
     /** Sends a message to the leader; false if it cannot be reached. */
-    public var send: (StewardMessage.TokensWanted) -> Boolean = { false }
+    public var send: (LeaderMessage.TokensWanted) -> Boolean = { false }
 
     /** Borrows [tokens] of [account]; returns 0 if they were given, else how long to wait. */
     public suspend fun borrow(account: String, tokens: Double): Long? {
@@ -28,7 +28,7 @@
         val answer = CompletableDeferred<Long>()
         open[number] = answer
         try {
-            if (!send(StewardMessage.TokensWanted(number, account, tokens))) return null
+            if (!send(LeaderMessage.TokensWanted(number, account, tokens))) return null
             val waitMillis = withTimeoutOrNull(ANSWER_MILLIS) { answer.await() } ?: return null
             if (waitMillis > 0) {
                 val until = clock.monotonicMillis() + waitMillis.coerceAtMost(MAX_EMPTY_MILLIS)
@@ -41,7 +41,7 @@
     }
 
     /** Takes in the leader's answer. */
-    public fun answered(message: StewardMessage.TokensGiven) {
+    public fun answered(message: LeaderMessage.TokensGiven) {
         open.remove(message.number)?.complete(message.waitMillis)
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/WaitingRoom.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ModelWaiters.kt
@@ -7,7 +7,7 @@
 public data class Awaited(public val service: String, public val wanted: WantedModel)
 
 /** Requests that wait until a model is resident; belongs to one thread. */
-public class WaitingRoom {
+public class ModelWaiters {
     private val waiters = HashMap<Awaited, MutableList<CompletableDeferred<Boolean>>>()
 
     private var isClosed = false
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -32,7 +32,7 @@
     public val directory: BackendDirectory = BackendDirectory()
 
     /** Requests that wait for a model. */
-    public val waitingRoom: WaitingRoom = WaitingRoom()
+    public val modelWaiters: ModelWaiters = ModelWaiters()
 
     /** What client accounts may use here. */
     public val quota: AccountQuota =
@@ -127,7 +127,7 @@
 
     /** Wakes requests whose model is there now. */
     public fun wakeWaiting() {
-        waitingRoom.wake { awaited ->
+        modelWaiters.wake { awaited ->
             candidates(awaited.service, awaited.wanted).any { it.backend.holds(awaited.wanted) }
         }
     }
@@ -177,7 +177,7 @@
 
     /** Returns the demand for models, by service, since the last call. */
     public fun takeDemand(): Map<String, List<DemandSample>> {
-        val waiting = waitingRoom.counts()
+        val waiting = modelWaiters.counts()
         val samples = (demand.keys + waiting.keys).groupBy({ it.service }) { awaited ->
             val wish = demand[awaited]
             DemandSample(
--- a/instance/src/test/kotlin/mustarddale/instance/serving/WaitingRoomTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/ModelWaitersTest.kt
@@ -8,17 +8,17 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.runBlocking
 import mustarddale.instance.serving.state.Awaited
-import mustarddale.instance.serving.state.WaitingRoom
+import mustarddale.instance.serving.state.ModelWaiters
 import mustarddale.serving.backend.WantedModel
 
-class WaitingRoomTest {
+class ModelWaitersTest {
     private val first = Awaited("scribe", WantedModel("m1"))
     private val second = Awaited("scribe", WantedModel("m2"))
 
     @Test
     fun `a wait ends when the model is there, when the instance leaves or when it is cancelled`() =
         runBlocking(Dispatchers.Unconfined) {
-            val room = WaitingRoom()
+            val room = ModelWaiters()
             val waits = listOf(first, second, second).map { awaited ->
                 async(start = CoroutineStart.UNDISPATCHED) { room.await(awaited) }
             }
