Tell the last order of any leader to the next; keep share holders over a resignation; plainer comments

Found by reading: a leader that resigned within its own wait told no order, so its successor waited for nothing although an earlier leader had ordered just before; and the first record after a resignation lost the holders of shares.

--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendDirectory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendDirectory.kt
@@ -74,7 +74,7 @@
     }
 
     private companion object {
-        /** Living servers are back in the list about two seconds after it returns (letter 2). */
+        /** Living servers renew their entries within about two seconds after the list returns. */
         const val LAPSE_GRACE_MILLIS = 2_200L
     }
 }
--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
@@ -9,8 +9,8 @@
  * @property run names the writer's process, which a restart replaces.
  * @property term the offset of the first record of this leadership; negative in that record itself.
  * @property isResigning whether the writer has stopped leading.
- * @property sinceOrderMillis how long before this record the writer gave its last order; null if it
- *   gave none.
+ * @property lastOrder the newest order to an engine that the writer knows of, its own or an earlier
+ *   leader's; null if there was none.
  * @property shareHolders instances that may hold shares granted in this term or before.
  */
 @Serializable
@@ -21,7 +21,7 @@
     public val port: Int,
     public val term: Long = UNKNOWN_TERM,
     public val isResigning: Boolean = false,
-    public val sinceOrderMillis: Long? = null,
+    public val lastOrder: LastOrder? = null,
     public val shareHolders: List<ShareHolder> = emptyList()
 ) {
     public companion object {
--- a/core/src/main/kotlin/mustarddale/serving/residency/AdapterPlanner.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/AdapterPlanner.kt
@@ -72,7 +72,7 @@
             usedMegabytes(spec) + spec.adapterSizeOf(wanted.model) <= spec.memoryMegabytes
 
     private companion object {
-        /** An engine takes four adapters at a time (PROTOCOL page of the platform). */
+        /** An engine refuses more than four adapters on their way. */
         const val MAX_COMING = 4
 
         /** An adapter that was just asked for has requests under way. */
--- a/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
@@ -207,10 +207,10 @@
         /** A load takes up to 4.2 s, so its model is kept for a while. */
         const val NEW_MILLIS = 2_500L
 
-        /** Adapters arrive within 10 ms at full speed (site pages), and a little for the way. */
+        /** Adapters take 5 to 10 ms when few are on their way, and a little for the network. */
         const val ADAPTER_LOAD_MILLIS = 14L
 
-        /** Reports are "some hundred milliseconds" old (PROTOCOL page of the platform). */
+        /** Engines tell figures that are 100 ms old and more. */
         const val REPORT_LAG_MILLIS = 250L
 
         /** An order without an answer that is carried out at once shows by then. */
--- a/core/src/main/kotlin/mustarddale/serving/residency/LoadPace.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/LoadPace.kt
@@ -25,7 +25,7 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
 
-        /** The store's bound has room for three more than the rate gives (RULES, CEILING). */
+        /** The weight store bears three loads more in five seconds than its rate gives. */
         const val BURST_LOADS = 3.0
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -232,7 +232,7 @@
         Math.floorMod(request.head.requestId.hashCode(), RETRY_SPREAD_MILLIS)
 
     private companion object {
-        /** A model loads within 4.2 s from the weight store, and may queue for it (site pages). */
+        /** The largest model loads within 4.2 s from the weight store, and may queue for it. */
         const val MAX_MODEL_WAIT_MILLIS = 6_000L
 
         /** Above what services fail by themselves (14 in 100 of one kind of request). */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -80,7 +80,7 @@
         .register(Metrics.globalRegistry)
 
     private companion object {
-        /** The longest deadline of the sites is 20 s. */
+        /** Callers wait 20 s at most. */
         const val MAX_SECONDS = 20L
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/ElectionDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ElectionDuty.kt
@@ -49,8 +49,8 @@
     /** Called with each leadership that this instance wins. */
     public var onWon: (WonTerm) -> Unit = {}
 
-    /** Fills in what the next record says of the leader's work. */
-    public var describe: (LeaderRecord) -> LeaderRecord = { it }
+    /** Fills in what the next record says of the leader's work, given the newest known record. */
+    public var describe: (LeaderRecord, LeaderRecord?) -> LeaderRecord = { record, _ -> record }
 
     /** Called when a record of this instance stands in the log. */
     public var onRecorded: (LeaderRecord) -> Unit = {}
@@ -100,7 +100,7 @@
         isLeaving = true
         val term = ownTerm() ?: return
         val end = checkNotNull(election.newest).offset + 1
-        val record = describe(self.copy(term = term, isResigning = true))
+        val record = describe(self.copy(term = term, isResigning = true), election.newest?.record)
         election.stepDown()
         val result = log.appendAt(TOPIC, end, encode(record))
         DecisionLog.record("leader_resigned", "term" to term, "outcome" to result)
@@ -145,7 +145,7 @@
 
     private suspend fun append(step: ElectionStep.Append) {
         val predecessor = election.newest?.record
-        val record = describe(self.copy(term = step.term))
+        val record = describe(self.copy(term = step.term), predecessor)
         val sentMillis = clock.monotonicMillis()
         election.sending(record, sentMillis)
         when (val result = log.appendAt(TOPIC, step.offset, encode(record))) {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
@@ -13,6 +13,7 @@
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.WantedModel
+import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.quota.AccountQuota
 import mustarddale.serving.quota.ShareGrant
@@ -37,11 +38,10 @@
     private val clock: Clock
 ) {
     private var newest: Leadership? = null
-    private var lastOrderMillis: Long? = null
 
     init {
         leadership.onWon = { begin(it) }
-        leadership.describe = { describe(it) }
+        leadership.describe = ::describe
         leadership.onRecorded = { newest?.recordedHolders = it.shareHolders }
     }
 
@@ -76,26 +76,27 @@
 
     private fun begin(won: WonTerm) {
         newest?.job?.cancel()
-        val predecessor = won.predecessor
-        val mayOrderAtMillis = when {
-            predecessor == null || predecessor.instance == holder -> won.sinceMillis
-            predecessor.isResigning ->
-                won.sinceMillis + orderLeaseMillis -
-                    (predecessor.sinceOrderMillis ?: orderLeaseMillis)
-
-            else -> won.sinceMillis + orderLeaseMillis
-        }
-        newest = Leadership(won, mayOrderAtMillis).also { it.start() }
+        newest = Leadership(won).also { it.start() }
     }
 
-    private fun describe(record: LeaderRecord): LeaderRecord = record.copy(
-        sinceOrderMillis = lastOrderMillis?.let { clock.monotonicMillis() - it },
-        shareHolders = current()?.holders()
-            ?: leadership.leader()?.record?.shareHolders.orEmpty()
-    )
+    private fun describe(record: LeaderRecord, before: LeaderRecord?): LeaderRecord {
+        val current = current()
+        return record.copy(
+            lastOrder = if (current == null) {
+                LastOrder.before(before, record.instance)
+            } else {
+                current.lastOrder()
+            },
+            shareHolders = current?.holders() ?: before?.shareHolders.orEmpty()
+        )
+    }
 
-    private inner class Leadership(won: WonTerm, private val mayOrderAtMillis: Long) {
+    private inner class Leadership(won: WonTerm) {
         val term = won.term
+        private val orderBefore = LastOrder.before(won.predecessor, holder)
+        private val mayOrderAtMillis =
+            won.sinceMillis + LastOrder.waitMillis(orderBefore, holder, orderLeaseMillis)
+        private var orderedAtMillis: Long? = null
         private val startMillis = won.sinceMillis
         var recordedHolders: List<ShareHolder> = won.predecessor?.shareHolders.orEmpty()
         var contentsVersion = 0L
@@ -121,6 +122,13 @@
             }
         }
 
+        /** Returns the newest order, of this leader or of one before. */
+        fun lastOrder(): LastOrder? {
+            val nowMillis = clock.monotonicMillis()
+            return orderedAtMillis?.let { LastOrder(holder, nowMillis - it) }
+                ?: orderBefore?.after(nowMillis - startMillis)
+        }
+
         /** Returns the holders for a record that is about to be sent; it may or may not land. */
         fun holders(): List<ShareHolder> {
             val next = ledger.holders(clock.monotonicMillis())
@@ -262,7 +270,7 @@
                 inventory.answered(OrderAnswer.REFUSED, sentMillis)
                 return
             }
-            lastOrderMillis = sentMillis
+            orderedAtMillis = sentMillis
             val answer = orders.give(inventory.engine, order, holder, term)
             val nowMillis = clock.monotonicMillis()
             inventory.answered(answer, nowMillis)
@@ -322,7 +330,7 @@
         /** The instance that asks knows a newer configuration, or an older one. */
         const val UNKNOWN_ACCOUNT_WAIT_MILLIS = 200L
 
-        /** Outlasts an outage of the log of nine seconds, as the sites list them. */
+        /** Outlasts the usual outages of the log, which last up to nine seconds. */
         const val SHARE_LEASE_MILLIS = 10_000L
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -202,7 +202,7 @@
     }
 
     private companion object {
-        /** Assumed until the leader has told the number: more than the sites' sizes of today. */
+        /** Assumed until the leader has told the number; fleets of today have 8 to 12 instances. */
         const val UNKNOWN_INSTANCE_COUNT = 16
 
         /** The rest of the slack is for requests that are larger than a full bucket. */
