Make room for an absent model while other engines only change adapters

Engines whose contents were unknown for a moment, after a conflict over an adapter, counted as engines that change their models, and only one of five may. Change: only loads and unloads of models count, and half of the engines may change for a model that requests wait for. ResidencyPlannerTest failed for engines in that state and passes.

--- a/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
@@ -53,6 +53,9 @@
     public val loadingModel: String?
         get() = change?.takeIf { it.kind == OrderKind.LOAD }?.model
 
+    /** Whether the engine loads or unloads a model, by an order of this leader or another. */
+    public val isChangingModels: Boolean get() = change != null || isReportedBusy
+
     /** Whether the contents are known and an order on a model may be given. */
     public val mayOrderModel: Boolean
         get() = mayOrderAdapter && coming.isEmpty()
--- a/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
@@ -94,8 +94,8 @@
         }
 
         private fun evictFor(need: Need, candidates: List<EngineInventory>) {
-            val changing = engines.count { !it.mayOrderAdapter || it.reservedFor != null }
-            if (changing + orders.size >= maxOf(1, engines.size / MAX_CHANGING_PART)) return
+            val changing = engines.count { it.isChangingModels || it.reservedFor != null }
+            if (changing + orders.size >= maxChanging(need)) return
             val best = candidates
                 .flatMap { engine -> engine.models.map { engine to it } }
                 .filter { (engine, victim) -> engine.fitsWithout(victim, need.model) }
@@ -109,6 +109,11 @@
             order(engine, OrderKind.UNLOAD, victim)
         }
 
+        private fun maxChanging(need: Need): Int = when {
+            need.value >= WAITING_VALUE -> (engines.size + 1) / 2
+            else -> maxOf(1, engines.size / MAX_CHANGING_PART)
+        }
+
         private fun tryLoad(engine: EngineInventory, model: String) {
             if (!mayLoad(engine, model)) return
             if (loadMillis(engine, model) == storeMillis(model)) mayLoadFromStore = false
@@ -220,7 +225,10 @@
         /** A copy is given up only for one worth a third more. */
         const val HYSTERESIS = 1.3
 
-        /** An engine that changes its models takes no adapters, so only a third does at a time. */
+        /**
+         * An engine that changes its models takes no adapters, so only a third does at a time; up
+         * to half of them for a model that requests wait for in vain.
+         */
         const val MAX_CHANGING_PART = 3
 
         /** A running request counts as five milliseconds of load time when engines are compared. */
--- /dev/null
+++ b/core/src/test/kotlin/mustarddale/serving/residency/ResidencyPlannerTest.kt
@@ -0,0 +1,74 @@
+package mustarddale.serving.residency
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toImmutableMap
+import mustarddale.serving.backend.BackendFixtures
+import mustarddale.serving.backend.WantedModel
+
+class ResidencyPlannerTest {
+    private val nowMillis = 20_000L
+
+    /** Engines with two models each, which leaves no room, and how many are in which state. */
+    private data class Fleet(val loading: Int, val unknown: Int, val idle: Int)
+
+    private fun report(isBusy: Boolean) = EngineReport(
+        models = listOf("m1", "m2").associateWith { persistentSetOf<String>() }.toImmutableMap(),
+        coming = persistentSetOf(),
+        isBusy = isBusy,
+        orderCount = 0,
+        running = 0,
+        waiting = 0,
+        hostCopies = persistentSetOf(),
+        diskCopies = persistentSetOf()
+    )
+
+    private fun engines(fleet: Fleet): List<EngineInventory> {
+        val states = List(fleet.loading) { 0 } + List(fleet.unknown) { 1 } + List(fleet.idle) { 2 }
+        return states.mapIndexed { index, state ->
+            EngineInventory(BackendFixtures.backend("e$index")).also {
+                it.report(report(isBusy = state == 0), nowMillis, nowMillis)
+                if (state == 1) conflict(it)
+            }
+        }
+    }
+
+    /** After a conflict over an adapter, the contents are unknown until the next report. */
+    private fun conflict(engine: EngineInventory) {
+        val wanted = WantedModel("m1", "a1")
+        engine.sending(
+            EngineOrder(engine.engine.id, OrderKind.LOAD, wanted, engine.expectedOrderCount())
+        )
+        engine.answered(OrderAnswer.CONFLICT, nowMillis)
+    }
+
+    private fun ordersFor(fleet: Fleet, waiting: Int): Int {
+        val demand = ModelDemand()
+        val samples = listOf("m1" to 0, "m2" to 0, "m3" to waiting).map { (model, count) ->
+            DemandSample(WantedModel(model, null), requests = 1, tokens = 10.0, waiting = count)
+        }
+        demand.report("i", samples, nowMillis)
+        return ResidencyPlanner(EngineModel.spec, knowsSinceMillis = 0)
+            .plan(engines(fleet), demand, mayLoadFromStore = true, nowMillis).size
+    }
+
+    @Test
+    fun `room is made for a model that requests wait for`() {
+        listOf(
+            Fleet(loading = 0, unknown = 0, idle = 5) to 1,
+            Fleet(loading = 0, unknown = 3, idle = 2) to 1,
+            Fleet(loading = 1, unknown = 2, idle = 2) to 1,
+            Fleet(loading = 2, unknown = 1, idle = 2) to 1,
+            Fleet(loading = 3, unknown = 0, idle = 2) to 0,
+            Fleet(loading = 0, unknown = 5, idle = 0) to 0
+        ).forEach { (fleet, expected) ->
+            assertEquals(expected, ordersFor(fleet, waiting = 4), "$fleet")
+        }
+    }
+
+    @Test
+    fun `no room is made for a model that nobody waits for`() {
+        assertEquals(0, ordersFor(Fleet(loading = 0, unknown = 0, idle = 5), waiting = 0))
+    }
+}
