Use the whole rate in shares while the leader is silent; grant at once to new holders

After all processes had been killed, instances had no shares for over a second, because grants waited for the next round and the next report. Change: an instance that has not heard the leader for 1.1 s uses its shares as if the whole rate were granted. A first report is granted for at once.

--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
@@ -2,19 +2,26 @@
  * Divides the accounts' rates among instances by demand. A share counts as held from before it is
  * granted until the instance has confirmed a smaller one, its process is replaced, or its lease has
  * run out; only what nobody can hold is granted out. So the shares in force never add up to more
- * than the total, whatever messages are lost.
+ * than the total, whatever messages are lost. The rest of each rate is the leader's to lend, except
+ * what instances out of its reach may use in its place (LoneShares).
  */
 package mustarddale.serving.quota
 
 import kotlinx.serialization.Serializable
 
-/** What an instance tells about its shares. */
+/**
+ * What an instance tells about its shares.
+ *
+ * @property heardMillis when the leader sent the newest message that the instance has taken in, by
+ *   the leader's clock; null if the instance has taken in none of this leadership.
+ */
 public data class ShareReport(
     public val instance: String,
     public val run: String,
     public val confirmedRevision: Long,
     public val sharesInForce: Map<String, Double>,
-    public val wantedTokens: Map<String, Double>
+    public val wantedTokens: Map<String, Double>,
+    public val heardMillis: Long?
 )
 
 /** Shares for one instance. */
@@ -70,8 +77,8 @@
     private fun leftMillis(holder: ShareHolder, nowMillis: Long): Long =
         unresolvedSinceMillis + holder.leftMillis - nowMillis
 
-    /** Takes in [report]. */
-    public fun report(report: ShareReport, nowMillis: Long) {
+    /** Takes in [report]; returns whether its instance, or its process, has not reported before. */
+    public fun report(report: ShareReport, nowMillis: Long): Boolean {
         unresolved.remove(report.instance)
         val known = holdings[report.instance]?.takeIf { it.run == report.run }
         val holding = known ?: Holding(report.run, report.sharesInForce)
@@ -81,6 +88,19 @@
         report.wantedTokens.forEach { (account, tokens) ->
             holding.demand.merge(account, tokens, Double::plus)
         }
+        if (report.heardMillis != null) holding.heardOfMillis = report.heardMillis
+        return known == null
+    }
+
+    /**
+     * Returns which part of the rate of [account] the leader may lend: all that is not granted, less
+     * what instances may use that cannot be sure to have heard from it lately.
+     */
+    public fun lendablePart(account: String, nowMillis: Long): Double {
+        val outOfReach = holdings.values
+            .filter { LoneShares.mayBeAlone(it.heardOfMillis, nowMillis) }
+            .sumOf { it.most(account) } + unresolved.values.sumOf { it.maxShare }
+        return ((1 - total) * (1 - outOfReach / total)).coerceAtLeast(0.0)
     }
 
     /**
@@ -140,6 +160,7 @@
         var held = inherited
         var sent = ShareGrant(revision = 0, shares = inherited)
         var heardAtMillis = 0L
+        var heardOfMillis: Long? = null
         val demand = HashMap<String, Double>()
         val accounts: Set<String> get() = held.keys + sent.shares.keys
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
@@ -48,7 +48,7 @@
     /** Counts changes of engines' contents; grows with each. */
     public val contentsVersion: Long get() = newest?.contentsVersion ?: 0
 
-    /** Called when engines' contents have changed. */
+    /** Called when engines' contents have changed, or an instance has its first shares. */
     public var onContentsChanged: () -> Unit = {}
 
     /** Takes in a report; returns false if this instance does not lead. */
@@ -104,14 +104,15 @@
         lateinit var job: Job
             private set
 
-        private val pool = AccountQuota { state.extraQuotaTokens }
+        private var pool = AccountQuota { state.extraQuotaTokens }
         private val ledger =
-            ShareLedger(recordedHolders, 1 - POOL_PART, SHARE_LEASE_MILLIS, won.sinceMillis)
+            ShareLedger(recordedHolders, GRANTED_PART, SHARE_LEASE_MILLIS, won.sinceMillis)
         private val services = HashMap<String, ServicePlan>()
         private val versions = HashMap<String, Long>()
         private val contents = HashMap<String, EngineContents>()
         private var grants = emptyMap<String, ShareGrant>()
         private var grantedAtMillis = 0L
+        private var hasNewHolder = false
 
         fun start() {
             job = scope.launch {
@@ -143,7 +144,7 @@
 
         fun report(report: LeaderMessage.Report) {
             val nowMillis = clock.monotonicMillis()
-            ledger.report(shareReport(report), nowMillis)
+            if (ledger.report(shareReport(report), nowMillis)) hasNewHolder = true
             var isUrgent = false
             report.demand.forEach { demand ->
                 val samples = demand.models.map { it.toSample() }
@@ -155,6 +156,7 @@
 
         fun lend(wanted: LeaderMessage.TokensWanted): LeaderMessage.TokensGiven {
             val nowMillis = clock.monotonicMillis()
+            if (nowMillis - grantedAtMillis > MAX_GRANT_GAP_MILLIS) grant(nowMillis)
             val account = state.configuration?.accounts?.get(wanted.account)
             val waitMillis = when {
                 account == null -> UNKNOWN_ACCOUNT_WAIT_MILLIS
@@ -169,7 +171,8 @@
             report.run,
             if (report.term == term) report.confirmedRevision else 0,
             report.shares,
-            report.wantedTokens
+            report.wantedTokens,
+            if (report.term == term) report.heardMillis else null
         )
 
         fun stateFor(instance: String, answers: Long, seenVersion: Long): LeaderMessage.State {
@@ -177,8 +180,10 @@
             return LeaderMessage.State(
                 term = term,
                 answers = answers,
+                sentMillis = clock.monotonicMillis(),
                 revision = grant?.revision ?: 0,
                 shares = grant?.shares.orEmpty(),
+                shareTotal = GRANTED_PART,
                 shareLeaseMillis = SHARE_LEASE_MILLIS,
                 instances = ledger.holderCount,
                 engines = contents.values.filter { (versions[it.engine] ?: 0) > seenVersion }
@@ -187,19 +192,30 @@
 
         private fun tick() {
             val nowMillis = clock.monotonicMillis()
-            if (nowMillis - grantedAtMillis >= GRANT_MILLIS) {
-                grantedAtMillis = nowMillis
-                val accounts = state.configuration?.accounts?.keys.orEmpty()
-                grants = ledger.grant(accounts, recordedHolders, nowMillis)
-                val all = state.configuration?.accounts?.values.orEmpty()
-                pool.setShares(accounts.associateWith { POOL_PART }, all, nowMillis)
-            }
+            if (hasNewHolder || nowMillis - grantedAtMillis >= GRANT_MILLIS) grant(nowMillis)
             state.configuration?.services?.values?.filter { it.engine != null }?.forEach {
                 refresh(checkNotNull(planOf(it.name)))
             }
             planOrders(nowMillis)
         }
 
+        private fun grant(nowMillis: Long) {
+            if (nowMillis - grantedAtMillis > MAX_GRANT_GAP_MILLIS) {
+                // This instance was paused: what the pool gathered may have been used by others.
+                pool = AccountQuota { state.extraQuotaTokens }
+            }
+            grantedAtMillis = nowMillis
+            val accounts = state.configuration?.accounts?.values.orEmpty()
+            val names = accounts.map { it.name }
+            grants = ledger.grant(names, recordedHolders, nowMillis)
+            val lendable = names.associateWith { ledger.lendablePart(it, nowMillis) }
+            pool.setShares(lendable, accounts, nowMillis)
+            if (hasNewHolder) {
+                hasNewHolder = false
+                onContentsChanged()
+            }
+        }
+
         private fun planOf(service: String): ServicePlan? {
             val spec = state.configuration?.services?.get(service)?.engine ?: return null
             val known = services[service]
@@ -324,8 +340,11 @@
         /** Demand of an instance is told four times a second. */
         const val GRANT_MILLIS = 250L
 
-        /** Kept by the leader for instances whose requests come in clumps. */
-        const val POOL_PART = 0.5
+        /** Above the usual interval; a longer one shows that the event loop stood still. */
+        const val MAX_GRANT_GAP_MILLIS = 380L
+
+        /** The rest is lent by the leader to instances whose requests come in clumps. */
+        const val GRANTED_PART = 0.5
 
         /** The instance that asks knows a newer configuration, or an older one. */
         const val UNKNOWN_ACCOUNT_WAIT_MILLIS = 200L
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -19,6 +19,8 @@
      * @property number counts the reports of this connection.
      * @property backendOffset up to where the instance knows the list of backend servers.
      * @property term the leadership whose shares are in force, and [confirmedRevision] which.
+     * @property heardMillis when the leader of [term] sent the newest state that was taken in, by
+     *   its own clock; null if none was.
      */
     @Serializable
     @SerialName("report")
@@ -31,6 +33,7 @@
         public val shares: Map<String, Double>,
         public val wantedTokens: Map<String, Double>,
         public val backendOffset: Long?,
+        public val heardMillis: Long?,
         public val demand: List<ServiceDemand>
     ) : LeaderMessage
 
@@ -39,6 +42,8 @@
      *
      * @property answers the number of the report that this answers; the lease of [shares] counts
      *   from when that was sent.
+     * @property sentMillis when it was sent, by the leader's clock.
+     * @property shareTotal what all shares of an account add up to.
      * @property backends what the leader has read of the list of backend servers.
      * @property engines what has changed at engines since the last message.
      */
@@ -47,8 +52,10 @@
     public data class State(
         public val term: Long,
         public val answers: Long,
+        public val sentMillis: Long,
         public val revision: Long,
         public val shares: Map<String, Double>,
+        public val shareTotal: Double,
         public val shareLeaseMillis: Long,
         public val instances: Int,
         public val engines: List<EngineContents>,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberDuty.kt
@@ -8,6 +8,7 @@
 import mustarddale.instance.serving.feed.FeedNews
 import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.quota.LoneShares
 import mustarddale.time.Clock
 
 /** Reports the beliefs in [state] as [instance], in its process [run]. */
@@ -21,6 +22,9 @@
     private var term = NO_TERM
     private var revision = 0L
     private var shares = emptyMap<String, Double>()
+    private var shareTotal = 1.0
+    private var heardMillis: Long? = null
+    private val loneShares = LoneShares()
     private var sharesUntilMillis = Long.MIN_VALUE
     private val sentMillis = LinkedHashMap<Long, Long>()
     private var number = 0L
@@ -39,6 +43,7 @@
             shares = shares,
             wantedTokens = state.quota.takeWanted(),
             backendOffset = backends.offset,
+            heardMillis = heardMillis,
             demand = state.takeDemand().map { (service, samples) ->
                 ServiceDemand(
                     service,
@@ -65,6 +70,8 @@
             term = message.term
             revision = 0
         }
+        heardMillis = message.sentMillis
+        loneShares.heard(nowMillis)
         state.residency.heard(nowMillis)
         message.backends?.let { news ->
             backends.relayed(
@@ -84,12 +91,15 @@
     }
 
     private fun takeShares(message: LeaderMessage.State, nowMillis: Long) {
-        val askedMillis = sentMillis[message.answers] ?: return
-        if (message.revision == 0L) return
+        val askedMillis = sentMillis[message.answers]
+        if (askedMillis == null || message.revision == 0L) {
+            setShares(nowMillis)
+            return
+        }
         sharesUntilMillis = maxOf(sharesUntilMillis, askedMillis + message.shareLeaseMillis)
-        if (message.revision == revision) return
         revision = message.revision
         shares = message.shares
+        shareTotal = message.shareTotal
         setShares(nowMillis)
     }
 
@@ -105,7 +115,12 @@
 
     private fun setShares(nowMillis: Long) {
         val accounts = state.configuration?.accounts?.values.orEmpty()
-        state.quota.setShares(shares, accounts, nowMillis)
+        val wasAlone = loneShares.isAlone
+        val inForce = loneShares.inForce(shares, shareTotal, nowMillis)
+        if (loneShares.isAlone && !wasAlone) {
+            DecisionLog.record("shares_without_leader", "term" to term, "total" to shareTotal)
+        }
+        state.quota.setShares(inForce, accounts, nowMillis)
     }
 
     private companion object {
