Let requests wait for an absent model only while their callers do; tell the others when it comes

Change: the leader tells when models that are on their way should be there. AbsentModelPolicy, a decision of its own, lets a request wait if the model comes while its caller is there, and else refuses it at once with that time as Retry-After. Requests that were told to come back count as demand until then.

--- a/core/src/main/kotlin/mustarddale/serving/config/ServingConfiguration.kt
+++ b/core/src/main/kotlin/mustarddale/serving/config/ServingConfiguration.kt
@@ -49,6 +49,8 @@
  * @property timeoutMillis the longest time that a request may be kept.
  * @property targetMillis the time within which an answer, or its first event, is on time.
  * @property maxGapMillis the longest pause between events, null if there is no bound.
+ * @property patienceMillis how long callers wait for the first event or between two events before
+ *   they leave, null if only their deadline counts.
  * @property priority 0 is the most urgent.
  * @property maxAttempts the most backend servers that one request may run on.
  */
@@ -62,6 +64,7 @@
     public val timeoutMillis: Long,
     public val targetMillis: Long,
     public val maxGapMillis: Long?,
+    public val patienceMillis: Long?,
     public val priority: Int,
     public val maxAttempts: Int,
     public val isOpenToAll: Boolean
--- a/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
@@ -16,6 +16,7 @@
     private val coming = HashMap<WantedModel, Long>()
     private val appearedAtMillis = HashMap<String, Long>()
     private var change: ModelChange? = null
+    private var changeSinceMillis = 0L
     private var orderCount: Long? = null
     private var isReportedBusy = false
     private var openOrder: EngineOrder? = null
@@ -92,6 +93,26 @@
         return held + loadingSize + coming.keys.sumOf { spec.adapterSizeOf(it.model) }
     }
 
+    /** Returns how long a load of [model] takes here, in milliseconds. */
+    public fun loadMillis(spec: EngineSpec, model: String): Long {
+        val known = spec.models.getValue(model)
+        return when (model) {
+            in hostCopies -> known.hostLoadMillis
+            in diskCopies -> known.diskLoadMillis
+            else -> known.storeLoadMillis
+        }
+    }
+
+    /** Returns the models that are on their way and when each should be there. */
+    public fun expected(spec: EngineSpec): Map<String, Long> {
+        val expected = HashMap<String, Long>()
+        loadingModel?.let { expected[it] = changeSinceMillis + loadMillis(spec, it) }
+        reservedFor?.takeIf { it in spec.models }?.let {
+            expected[it] = changeSinceMillis + UNLOAD_MILLIS + loadMillis(spec, it)
+        }
+        return expected
+    }
+
     /** Takes in a report that was asked for at [askedMillis]. */
     public fun report(report: EngineReport, askedMillis: Long, nowMillis: Long) {
         load = report.running + report.waiting
@@ -119,9 +140,10 @@
     }
 
     /** Notes that [order] is about to be sent. */
-    public fun sending(order: EngineOrder) {
+    public fun sending(order: EngineOrder, nowMillis: Long) {
         openOrder = order
         if (order.wanted.adapter == null) {
+            changeSinceMillis = nowMillis
             change = ModelChange(order.kind, order.wanted.model)
         } else if (order.kind == OrderKind.LOAD) {
             coming[order.wanted] = Long.MAX_VALUE
@@ -213,6 +235,9 @@
         /** Adapters take 5 to 10 ms when few are on their way, and a little for the network. */
         const val ADAPTER_LOAD_MILLIS = 14L
 
+        /** An unload waits for the requests under way, which last a second or two. */
+        const val UNLOAD_MILLIS = 1_000L
+
         /** Engines tell figures that are 100 ms old and more. */
         const val REPORT_LAG_MILLIS = 250L
 
--- a/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
@@ -186,14 +186,8 @@
         return (spec.adapterPlaces - adapterCount).coerceAtLeast(0) * largest
     }
 
-    private fun loadMillis(engine: EngineInventory, model: String): Long {
-        val known = spec.models.getValue(model)
-        return when (model) {
-            in engine.hostCopies -> known.hostLoadMillis
-            in engine.diskCopies -> known.diskLoadMillis
-            else -> known.storeLoadMillis
-        }
-    }
+    private fun loadMillis(engine: EngineInventory, model: String): Long =
+        engine.loadMillis(spec, model)
 
     private fun storeMillis(model: String): Long = spec.models.getValue(model).storeLoadMillis
 
--- a/core/src/test/kotlin/mustarddale/serving/config/RouteTableTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/config/RouteTableTest.kt
@@ -8,7 +8,8 @@
 class RouteTableTest {
     private fun route(name: String, prefix: String, vararg services: WeightedService) = ServedRoute(
         name, "h.example", prefix, services.toList().toImmutableList(), Repeatability.ONCE,
-        isStream = false, timeoutMillis = 1, targetMillis = 1, maxGapMillis = null, priority = 0,
+        isStream = false, timeoutMillis = 1, targetMillis = 1, maxGapMillis = null,
+        patienceMillis = null, priority = 0,
         maxAttempts = 1, isOpenToAll = false
     )
 
--- a/core/src/test/kotlin/mustarddale/serving/residency/PlacementRunTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/residency/PlacementRunTest.kt
@@ -51,7 +51,7 @@
         private fun give(order: EngineOrder, nowMillis: Long) {
             val inventory = inventories.getValue(order.engine)
             val engine = engines.getValue(order.engine)
-            inventory.sending(order)
+            inventory.sending(order, nowMillis)
             when (random.nextInt(8)) {
                 0 -> inventory.answered(OrderAnswer.UNKNOWN, nowMillis)
 
--- a/core/src/test/kotlin/mustarddale/serving/residency/ResidencyPlannerTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/residency/ResidencyPlannerTest.kt
@@ -37,9 +37,8 @@
     /** After a conflict over an adapter, the contents are unknown until the next report. */
     private fun conflict(engine: EngineInventory) {
         val wanted = WantedModel("m1", "a1")
-        engine.sending(
-            EngineOrder(engine.engine.id, OrderKind.LOAD, wanted, engine.expectedOrderCount())
-        )
+        val count = engine.expectedOrderCount()
+        engine.sending(EngineOrder(engine.engine.id, OrderKind.LOAD, wanted, count), nowMillis)
         engine.answered(OrderAnswer.CONFLICT, nowMillis)
     }
 
@@ -71,4 +70,20 @@
     fun `no room is made for a model that nobody waits for`() {
         assertEquals(0, ordersFor(Fleet(loading = 0, unknown = 0, idle = 5), waiting = 0))
     }
+
+    @Test
+    fun `an engine tells when models that are on their way should be there`() {
+        val engine = engines(Fleet(loading = 0, unknown = 0, idle = 1)).single()
+        assertEquals(emptyMap(), engine.expected(EngineModel.spec))
+        engine.reservedFor = "m3"
+        val unload = EngineOrder("e0", OrderKind.UNLOAD, WantedModel("m1"), 0)
+        engine.sending(unload, nowMillis)
+        assertEquals(mapOf("m3" to nowMillis + 2_000), engine.expected(EngineModel.spec))
+        engine.answered(OrderAnswer.ACCEPTED, nowMillis)
+        engine.report(report(isBusy = false).copy(orderCount = 1), nowMillis + 300, nowMillis + 300)
+        engine.reservedFor = null
+        val load = EngineOrder("e0", OrderKind.LOAD, WantedModel("m3"), 1)
+        engine.sending(load, nowMillis + 400)
+        assertEquals(mapOf("m3" to nowMillis + 1_400), engine.expected(EngineModel.spec))
+    }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admitted.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admitted.kt
@@ -23,6 +23,13 @@
     public val arrivedAtMillis: Long,
     public val giveUpAtMillis: Long
 ) {
+    /** When the caller gives up at the latest if no answer has begun. */
+    public val callerLeavesAtMillis: Long
+        get() = minOf(
+            giveUpAtMillis,
+            arrivedAtMillis + (route.patienceMillis ?: Long.MAX_VALUE / 2)
+        )
+
     /** The priority that the request has at backend servers. */
     public val priority: Int get() = account?.priority ?: route.priority
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -14,6 +14,9 @@
 import mustarddale.serving.backend.Choice
 import mustarddale.serving.backend.Ending
 import mustarddale.serving.config.Repeatability
+import mustarddale.serving.residency.AbsentModelDecision
+import mustarddale.serving.residency.AbsentModelPolicy
+import mustarddale.serving.residency.AbsentModelRequest
 
 /** Forwards [request] for [forwarder] and writes its answer to [writer]. */
 internal class Forwarding(
@@ -79,20 +82,35 @@
 
     private suspend fun awaitModel(nowMillis: Long): Boolean {
         val awaited = Awaited(request.service, checkNotNull(request.head.wanted))
-        val leftMillis = request.giveUpAtMillis - nowMillis
-        val waitMillis = minOf(MAX_MODEL_WAIT_MILLIS, leftMillis / 2)
         if (!state.modelWaiters.hasRoom(MAX_WAITING)) {
             refuseOrFail("too many requests wait for models")
             return false
         }
+        val expectedAtMillis = state.expectedAtMillis(request.service, awaited.wanted.model)
+        val decision = AbsentModelPolicy.decide(absentModel(), expectedAtMillis, nowMillis)
+        if (decision is AbsentModelDecision.Wait && !state.modelWaiters.isClosed) {
+            state.onUrgentDemand()
+            val waitMillis = minOf(decision.untilMillis - nowMillis, RECHECK_MILLIS)
+            withTimeoutOrNull(waitMillis.coerceAtLeast(1)) { state.modelWaiters.await(awaited) }
+            log.waitedMillis += clock.monotonicMillis() - nowMillis
+            return true
+        }
+        val expected = expectedAtMillis?.let { "expected in ${it - nowMillis} ms" } ?: "not ordered"
+        val retryMillis = (decision as? AbsentModelDecision.ComeBack)?.let {
+            it.retryAfterMillis + spread(MODEL_RETRY_SPREAD_MILLIS)
+        }
+        retryMillis?.let { state.modelWaiters.comesBack(awaited, nowMillis + it) }
+        refuseOrFail("model ${awaited.wanted} is absent, $expected", retryMillis)
         state.onUrgentDemand()
-        val isThere = withTimeoutOrNull(waitMillis) { state.modelWaiters.await(awaited) } == true
-        log.waitedMillis += clock.monotonicMillis() - nowMillis
-        if (isThere) return true
-        refuseOrFail("model ${awaited.wanted} was not loaded after ${log.waitedMillis} ms")
         return false
     }
 
+    private fun absentModel() = AbsentModelRequest(
+        arrivedAtMillis = request.arrivedAtMillis,
+        callerLeavesAtMillis = request.callerLeavesAtMillis,
+        targetMillis = request.route.targetMillis
+    )
+
     /** Sends the request to [backend]; true if the caller has its final answer. */
     private suspend fun attempt(backend: Backend): Boolean {
         val load = state.loadOf(backend)
@@ -194,14 +212,14 @@
         return true
     }
 
-    private fun refuseOrFail(reason: String) {
-        if (runs == 0) refuse(reason) else failed(reason)
+    private fun refuseOrFail(reason: String, retryAfterMillis: Long? = null) {
+        if (runs == 0) refuse(reason, retryAfterMillis) else failed(reason)
     }
 
-    private fun refuse(reason: String) {
+    private fun refuse(reason: String, retryAfterMillis: Long? = null) {
         request.account?.let { state.quota.putBack(it, request.tokens) }
-        val refusal =
-            Refusal(ErrorKind.NO_BACKEND, reason, retryAfterMillis = retryAfterMillis())
+        val retryMillis = retryAfterMillis ?: (RETRY_AFTER_MILLIS + spread(RETRY_SPREAD_MILLIS))
+        val refusal = Refusal(ErrorKind.NO_BACKEND, reason, retryAfterMillis = retryMillis)
         log.ended("refused", reason)
         writer.refuse(refusal)
     }
@@ -228,12 +246,15 @@
         }
     }
 
-    private fun retryAfterMillis(): Long = RETRY_AFTER_MILLIS +
-        Math.floorMod(request.head.requestId.hashCode(), RETRY_SPREAD_MILLIS)
+    private fun spread(millis: Int): Long =
+        Math.floorMod(request.head.requestId.hashCode(), millis).toLong()
 
     private companion object {
-        /** The largest model loads within 4.2 s from the weight store, and may queue for it. */
-        const val MAX_MODEL_WAIT_MILLIS = 6_000L
+        /** How soon a wait learns that the model is expected at another time, or given up. */
+        const val RECHECK_MILLIS = 200L
+
+        /** Lets requests for a model that has just come begin one after the other. */
+        const val MODEL_RETRY_SPREAD_MILLIS = 150
 
         /** Above what services fail by themselves (14 in 100 of one kind of request). */
         const val DOUBTED_SCORE = 0.25
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
@@ -109,7 +109,7 @@
             ShareLedger(recordedHolders, GRANTED_PART, SHARE_LEASE_MILLIS, won.sinceMillis)
         private val services = HashMap<String, ServicePlan>()
         private val versions = HashMap<String, Long>()
-        private val contents = HashMap<String, EngineContents>()
+        private val contents = HashMap<String, KnownContents>()
         private var grants = emptyMap<String, ShareGrant>()
         private var grantedAtMillis = 0L
         private var hasNewHolder = false
@@ -186,7 +186,8 @@
                 shareTotal = GRANTED_PART,
                 shareLeaseMillis = SHARE_LEASE_MILLIS,
                 instances = ledger.holderCount,
-                engines = contents.values.filter { (versions[it.engine] ?: 0) > seenVersion }
+                engines = contents.filterKeys { (versions[it] ?: 0) > seenVersion }
+                    .map { (engine, known) -> known.toMessage(engine, clock.monotonicMillis()) }
             )
         }
 
@@ -250,12 +251,13 @@
                 return
             }
             inventory.report(report, askedMillis, clock.monotonicMillis())
-            publish(inventory)
+            publish(plan, inventory)
         }
 
         private fun planOrders(nowMillis: Long) {
             services.values.forEach { plan ->
-                plan.inventories.values.filter { it.settle(nowMillis) }.forEach { publish(it) }
+                plan.inventories.values.filter { it.settle(nowMillis) }
+                    .forEach { publish(plan, it) }
             }
             if (nowMillis < mayOrderAtMillis) return
             services.values.forEach { plan ->
@@ -275,12 +277,16 @@
             val inventory = checkNotNull(plan.inventories[order.engine])
             val isModelLoad = order.wanted.adapter == null && order.kind == OrderKind.LOAD
             if (isModelLoad && plan.isFromStore(inventory, order)) plan.pace.began()
-            inventory.sending(order)
-            publish(inventory)
-            scope.launch { send(inventory, order) }
+            inventory.sending(order, clock.monotonicMillis())
+            publish(plan, inventory)
+            scope.launch { send(plan, inventory, order) }
         }
 
-        private suspend fun send(inventory: EngineInventory, order: EngineOrder) {
+        private suspend fun send(
+            plan: ServicePlan,
+            inventory: EngineInventory,
+            order: EngineOrder
+        ) {
             val sentMillis = clock.monotonicMillis()
             if (current() !== this) {
                 inventory.answered(OrderAnswer.REFUSED, sentMillis)
@@ -301,35 +307,55 @@
                 "answer" to answer,
                 "tookMillis" to nowMillis - sentMillis
             )
-            publish(inventory)
-            scheduleArrival(inventory, nowMillis)
+            publish(plan, inventory)
+            scheduleArrival(plan, inventory, nowMillis)
         }
 
-        private fun scheduleArrival(inventory: EngineInventory, nowMillis: Long) {
+        private fun scheduleArrival(
+            plan: ServicePlan,
+            inventory: EngineInventory,
+            nowMillis: Long
+        ) {
             val arrivalMillis = inventory.nextArrivalMillis() ?: return
             scope.launch {
                 delay((arrivalMillis - nowMillis).coerceAtLeast(1))
-                if (inventory.settle(clock.monotonicMillis())) publish(inventory)
+                if (inventory.settle(clock.monotonicMillis())) publish(plan, inventory)
                 if (current() === this@Leadership) planOrders(clock.monotonicMillis())
             }
         }
 
-        private fun publish(inventory: EngineInventory) {
+        private fun publish(plan: ServicePlan, inventory: EngineInventory) {
             if (inventory.reportedAtMillis == Long.MIN_VALUE) return
             val id = inventory.engine.id
-            val now = EngineContents(
-                id,
-                inventory.models.associateWith { inventory.adaptersOf(it).sorted() }
+            val now = KnownContents(
+                inventory.models.associateWith { inventory.adaptersOf(it).sorted() },
+                inventory.expected(plan.spec)
             )
             if (contents[id] == now) return
             contents[id] = now
             contentsVersion++
             versions[id] = contentsVersion
-            DecisionLog.record("engine_contents", "engine" to id, "models" to now.models)
+            DecisionLog.record(
+                "engine_contents",
+                "engine" to id,
+                "models" to now.models,
+                "expectedAtMillis" to now.expectedAtMillis
+            )
             onContentsChanged()
         }
     }
 
+    private data class KnownContents(
+        val models: Map<String, List<String>>,
+        val expectedAtMillis: Map<String, Long>
+    ) {
+        fun toMessage(engine: String, nowMillis: Long) = EngineContents(
+            engine,
+            models,
+            expectedAtMillis.mapValues { it.value - nowMillis }
+        )
+    }
+
     private fun ModelSample.toSample() =
         DemandSample(WantedModel(model, adapter), requests, tokens, waiting)
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -97,11 +97,16 @@
     public val waiting: Int
 )
 
-/** The models of one engine that requests may be sent for, each with its adapters. */
+/**
+ * The models of one engine that requests may be sent for, each with its adapters.
+ *
+ * @property expected the models on their way, with the milliseconds until each should be there.
+ */
 @Serializable
 public data class EngineContents(
     public val engine: String,
-    public val models: Map<String, List<String>>
+    public val models: Map<String, List<String>>,
+    public val expected: Map<String, Long>
 )
 
 /** Records of the list of backend servers, which the leader read [ageMillis] ago. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberDuty.kt
@@ -84,7 +84,10 @@
                 )
             )
         }
-        message.engines.forEach { state.residency.put(it.engine, it.models) }
+        message.engines.forEach { engine ->
+            val expectedAt = engine.expected.mapValues { nowMillis + it.value }
+            state.residency.put(engine.engine, engine.models, expectedAt)
+        }
         state.instanceCount = message.instances.coerceAtLeast(1)
         takeShares(message, nowMillis)
         if (message.engines.isNotEmpty()) state.wakeWaiting()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ModelWaiters.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ModelWaiters.kt
@@ -9,11 +9,26 @@
 /** Requests that wait until a model is resident; belongs to one thread. */
 public class ModelWaiters {
     private val waiters = HashMap<Awaited, MutableList<CompletableDeferred<Boolean>>>()
+    private val comingBack = HashMap<Awaited, MutableList<Long>>()
 
-    private var isClosed = false
+    /** Whether the instance leaves, so that nobody waits any more. */
+    public var isClosed: Boolean = false
+        private set
 
-    /** Returns how many requests wait for each model. */
-    public fun counts(): Map<Awaited, Int> = waiters.mapValues { it.value.size }
+    /** Returns how many requests wait for each model, or were told to come back for it. */
+    public fun counts(nowMillis: Long): Map<Awaited, Int> {
+        comingBack.values.forEach { times -> times.removeIf { it <= nowMillis } }
+        comingBack.values.removeIf { it.isEmpty() }
+        return (waiters.keys + comingBack.keys).associateWith {
+            (waiters[it]?.size ?: 0) + (comingBack[it]?.size ?: 0)
+        }
+    }
+
+    /** Notes that a request for [awaited] was refused and should come back at [backAtMillis]. */
+    public fun comesBack(awaited: Awaited, backAtMillis: Long) {
+        val times = comingBack.getOrPut(awaited) { mutableListOf() }
+        if (times.size < MAX_COMING_BACK) times.add(backAtMillis)
+    }
 
     /** Returns whether no more than [limit] requests wait already. */
     public fun hasRoom(limit: Int): Boolean = waiters.values.sumOf { it.size } < limit
@@ -45,4 +60,9 @@
         isClosed = true
         waiters.values.flatten().forEach { it.complete(false) }
     }
+
+    private companion object {
+        /** More do not change which model is placed first. */
+        const val MAX_COMING_BACK = 100
+    }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ResidencyView.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ResidencyView.kt
@@ -9,6 +9,7 @@
 /** What engines hold, as the leader orders it; belongs to one thread. */
 public class ResidencyView {
     private val byEngine = HashMap<String, ImmutableMap<String, ImmutableSet<String>>>()
+    private val expectedAtMillis = HashMap<String, Map<String, Long>>()
     private val absentUntilMillis = HashMap<Pair<String, WantedModel>, Long>()
     private var heardAtMillis = Long.MIN_VALUE
 
@@ -17,19 +18,26 @@
         heardAtMillis = nowMillis
     }
 
-    /** Takes in what the leader says that [engine] holds. */
-    public fun put(engine: String, models: Map<String, Collection<String>>) {
+    /** Takes in what the leader says that [engine] holds, and what should be there at which time. */
+    public fun put(
+        engine: String,
+        models: Map<String, Collection<String>>,
+        expectedAt: Map<String, Long>
+    ) {
+        expectedAtMillis[engine] = expectedAt
         byEngine[engine] = models.mapValues { it.value.toImmutableSet() }.toImmutableMap()
     }
 
     /** Forgets [engine]. */
     public fun forget(engine: String) {
         byEngine.remove(engine)
+        expectedAtMillis.remove(engine)
     }
 
     /** Forgets all that an earlier leader said. */
     public fun clear() {
         byEngine.clear()
+        expectedAtMillis.clear()
     }
 
     /** Notes that [engine] answered that it does not hold [wanted]. */
@@ -42,6 +50,10 @@
     public fun isAbsent(engine: String, wanted: WantedModel, nowMillis: Long): Boolean =
         (absentUntilMillis[engine to wanted] ?: 0) > nowMillis
 
+    /** Returns when [model] should be at [engine], null if it is not on its way. */
+    public fun expectedAtMillis(engine: String, model: String): Long? =
+        expectedAtMillis[engine]?.get(model)
+
     /** Returns what the leader says that [engine] holds, null if it said nothing lately. */
     public fun modelsOf(
         engine: String,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -132,6 +132,12 @@
         }
     }
 
+    /** Returns when [model] should be at an engine of [service], null if none was told to load it. */
+    public fun expectedAtMillis(service: String, model: String): Long? = directory.backends
+        .filter { it.service == service && !it.isDraining && it.failureDomain !in closedDomains }
+        .mapNotNull { residency.expectedAtMillis(it.id, model) }
+        .minOrNull()
+
     /** Returns what is known of the load of [backend]. */
     public fun loadOf(backend: Backend): BackendLoad =
         loads.getOrPut(backend.id) { BackendLoad(backend.slots) }
@@ -177,7 +183,7 @@
 
     /** Returns the demand for models, by service, since the last call. */
     public fun takeDemand(): Map<String, List<DemandSample>> {
-        val waiting = modelWaiters.counts()
+        val waiting = modelWaiters.counts(clock.monotonicMillis())
         val samples = (demand.keys + waiting.keys).groupBy({ it.service }) { awaited ->
             val wish = demand[awaited]
             DemandSample(
--- a/instance/src/test/kotlin/mustarddale/instance/serving/ModelWaitersTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/ModelWaitersTest.kt
@@ -22,13 +22,23 @@
             val waits = listOf(first, second, second).map { awaited ->
                 async(start = CoroutineStart.UNDISPATCHED) { room.await(awaited) }
             }
-            assertEquals(mapOf(first to 1, second to 2), room.counts())
+            assertEquals(mapOf(first to 1, second to 2), room.counts(nowMillis = 0))
             room.wake { it == first }
             assertEquals(true, waits[0].await())
             waits[1].cancelAndJoin()
-            assertEquals(mapOf(second to 1), room.counts())
+            assertEquals(mapOf(second to 1), room.counts(nowMillis = 0))
             room.close()
             assertEquals(false, waits[2].await())
             assertEquals(false, room.await(first), "nobody waits at an instance that leaves")
         }
+
+    @Test
+    fun `requests that come back later count as waiting until then`() {
+        val room = ModelWaiters()
+        room.comesBack(first, backAtMillis = 500)
+        room.comesBack(first, backAtMillis = 900)
+        listOf(0L to 2, 499L to 2, 500L to 1, 900L to null).forEach { (nowMillis, expected) ->
+            assertEquals(expected, room.counts(nowMillis)[first], "at $nowMillis ms")
+        }
+    }
 }
