Stop orders when a leader's record ages, so that its successor waits less

Change: a leader gives orders only within a second of its newest record, which it renews every 500 ms (650 before). LeaderElectionTest now also plays the orders of all leaders and checks the distance; it fails if leaders order over their whole lease.

--- a/core/src/main/kotlin/mustarddale/serving/leadership/LastOrder.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LastOrder.kt
@@ -18,11 +18,18 @@
         /**
          * Returns the newest order that another leader may have given when an instance takes over
          * from [predecessor]; null if there was none.
+         *
+         * @param sinceMillis how long ago the predecessor gave its last order at the latest, if it
+         *   did not resign.
          */
-        public fun before(predecessor: LeaderRecord?, instance: String): LastOrder? = when {
+        public fun before(
+            predecessor: LeaderRecord?,
+            instance: String,
+            sinceMillis: Long = 0
+        ): LastOrder? = when {
             predecessor == null -> null
             predecessor.isResigning || predecessor.instance == instance -> predecessor.lastOrder
-            else -> LastOrder(predecessor.instance, sinceMillis = 0)
+            else -> LastOrder(predecessor.instance, sinceMillis)
         }
 
         /** Returns how long [instance] has to wait after [order] before it gives orders itself. */
--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
@@ -13,10 +13,16 @@
         get() = if (record.term == LeaderRecord.UNKNOWN_TERM) offset else record.term
 }
 
-/** The durations of the election, in milliseconds. */
+/**
+ * The durations of the election, in milliseconds.
+ *
+ * @property orderMillis for how long after a record the leader may give orders; shorter than the
+ *   lease, so that a successor knows that the last order is some time ago.
+ */
 public data class ElectionTimes(
     public val leaseMillis: Long,
     public val renewalMillis: Long,
+    public val orderMillis: Long,
     public val driftMillis: Long
 )
 
@@ -61,6 +67,14 @@
     /** The term of this instance's leadership at [nowMillis], null while it does not lead. */
     public fun ownTerm(nowMillis: Long): Long? = ownTerm?.takeIf { nowMillis < ownLeaseUntilMillis }
 
+    /** Whether this instance may give orders at [nowMillis]. */
+    public fun mayOrder(nowMillis: Long): Boolean = ownTerm(nowMillis) != null &&
+        nowMillis < ownLeaseUntilMillis - times.leaseMillis + times.orderMillis
+
+    /** Returns how long before [nowMillis] the newest known leader gave its last order at least. */
+    public fun sinceOrdersMillis(nowMillis: Long): Long =
+        (nowMillis - seenAtMillis - times.orderMillis - times.driftMillis).coerceAtLeast(0)
+
     /** Takes in a read that found [records] and the log's [end]. */
     public fun observe(records: List<LoggedLeader>, end: Long, nowMillis: Long) {
         mustRead = false
--- a/core/src/test/kotlin/mustarddale/serving/leadership/LastOrderTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/leadership/LastOrderTest.kt
@@ -7,7 +7,8 @@
     private data class Case(
         val name: String,
         val predecessor: LeaderRecord?,
-        val expectedWaitMillis: Long
+        val expectedWaitMillis: Long,
+        val sinceOrdersMillis: Long = 0
     )
 
     private fun record(instance: String, isResigning: Boolean, lastOrder: LastOrder?) =
@@ -19,6 +20,7 @@
         listOf(
             Case("there was none before", null, 0),
             Case("one crashed and may have ordered until then", record("b", false, null), 3_000),
+            Case("one has been silent for a while", record("b", false, null), 2_000, 1_000),
             Case("one resigned a second after its order", record("b", true, byOther), 2_000),
             Case("one resigned without any order", record("b", true, null), 0),
             Case(
@@ -34,7 +36,7 @@
             ),
             Case("the last order is long ago", record("b", true, LastOrder("b", 9_000)), 0)
         ).forEach { case ->
-            val order = LastOrder.before(case.predecessor, "a")
+            val order = LastOrder.before(case.predecessor, "a", case.sinceOrdersMillis)
             assertEquals(
                 case.expectedWaitMillis,
                 LastOrder.waitMillis(order, "a", 3_000),
--- a/core/src/test/kotlin/mustarddale/serving/leadership/LeaderElectionTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/leadership/LeaderElectionTest.kt
@@ -9,7 +9,8 @@
 import net.jqwik.api.constraints.LongRange
 
 class LeaderElectionTest {
-    private val times = ElectionTimes(leaseMillis = 2_000, renewalMillis = 650, driftMillis = 100)
+    private val times =
+        ElectionTimes(2_000, renewalMillis = 500, orderMillis = 1_000, driftMillis = 100)
 
     /** The leadership log: appends may be lost, or may land late. */
     private class Log {
@@ -25,15 +26,45 @@
     private inner class Node(val name: String, var run: Int = 0) {
         var election = newElection()
         var awakeAtMillis = 0L
+        private var mayOrderAtMillis = 0L
+        private var orderBefore: LastOrder? = null
+        private var wonAtMillis = 0L
+        private var orderedAtMillis: Long? = null
 
         private fun newElection() = LeaderElection(name, "$name-$run", times)
 
         fun restart() {
             run++
             election = newElection()
+            orderedAtMillis = null
         }
 
-        fun record(term: Long) = LeaderRecord(name, "$name-$run", "host", 1, term)
+        /** Gives an order if it may. */
+        fun orders(nowMillis: Long): Boolean {
+            val mayOrder = nowMillis >= mayOrderAtMillis && election.mayOrder(nowMillis)
+            if (mayOrder) orderedAtMillis = nowMillis
+            return mayOrder
+        }
+
+        /** Waits after the orders of whoever led before. */
+        private fun waitFor(predecessor: LeaderRecord?, sinceMillis: Long, nowMillis: Long) {
+            orderBefore = LastOrder.before(predecessor, name, sinceMillis)
+            wonAtMillis = nowMillis
+            orderedAtMillis = null
+            val waitMillis = LastOrder.waitMillis(orderBefore, name, ORDER_LEASE_MILLIS)
+            mayOrderAtMillis = nowMillis + waitMillis
+        }
+
+        private fun record(term: Long, nowMillis: Long): LeaderRecord {
+            val lastOrder = when {
+                term == LeaderRecord.UNKNOWN_TERM ->
+                    LastOrder.before(election.newest?.record, name)
+
+                else -> orderedAtMillis?.let { LastOrder(name, nowMillis - it) }
+                    ?: orderBefore?.after(nowMillis - wonAtMillis)
+            }
+            return LeaderRecord(name, "$name-$run", "host", 1, term, lastOrder = lastOrder)
+        }
 
         /** One step; returns an append that is still on its way. */
         fun step(log: Log, nowMillis: Long, random: Random): (() -> Unit)? {
@@ -47,7 +78,9 @@
                 )
 
                 is ElectionStep.Append -> {
-                    val record = record(step.term)
+                    val record = record(step.term, nowMillis)
+                    val predecessor = election.newest?.record
+                    val sinceMillis = election.sinceOrdersMillis(nowMillis)
                     election.sending(record, nowMillis)
                     when (random.nextInt(10)) {
                         0 -> election.appendFailed()
@@ -59,6 +92,9 @@
 
                         else -> if (log.append(step.offset, record)) {
                             election.appended(record, step.offset, nowMillis)
+                            if (step.term == LeaderRecord.UNKNOWN_TERM) {
+                                waitFor(predecessor, sinceMillis, nowMillis)
+                            }
                         } else {
                             election.appendFailed()
                         }
@@ -77,6 +113,7 @@
         val log = Log()
         val nodes = List(4) { Node("node-$it") }
         val late = ArrayList<Pair<Long, () -> Unit>>()
+        val orders = HashMap<String, Long>()
         for (nowMillis in 0L..40_000L step 50) {
             late.filter { it.first <= nowMillis }.forEach { it.second() }
             late.removeIf { it.first <= nowMillis }
@@ -89,6 +126,12 @@
             }
             val leaders = nodes.filter { it.election.ownTerm(nowMillis) != null }
             assertTrue(leaders.size <= 1, "at $nowMillis ms: ${leaders.map { it.name }}")
+            nodes.filter { nowMillis >= it.awakeAtMillis && it.orders(nowMillis) }.forEach {
+                val other = orders.filterKeys { name -> name != it.name }.values.maxOrNull()
+                val gapMillis = nowMillis - (other ?: -ORDER_LEASE_MILLIS)
+                assertTrue(gapMillis >= ORDER_LEASE_MILLIS, "${it.name} orders at $nowMillis ms")
+                orders[it.name] = nowMillis
+            }
         }
         assertEquals(1, nodes.count { it.election.ownTerm(40_000) != null })
         val terms = log.records.map { it.term }
@@ -140,4 +183,21 @@
         election.observe(emptyList(), 2, 4_200)
         assertEquals(ElectionStep.Append(2, -1), election.next(4_200))
     }
+
+    @Test
+    fun `a leader orders only while its record is fresh`() {
+        val election = LeaderElection("a", "a-1", times)
+        election.observe(emptyList(), 0, 0)
+        val record = LeaderRecord("a", "a-1", "h", 1)
+        election.sending(record, 100)
+        election.appended(record, 0, 100)
+        listOf(100L to true, 1_099L to true, 1_100L to false, 2_000L to false).forEach {
+            assertEquals(it.second, election.mayOrder(it.first), "at ${it.first} ms")
+        }
+        assertEquals(0, election.ownTerm(2_000), "it still leads")
+    }
+
+    private companion object {
+        const val ORDER_LEASE_MILLIS = 3_000L
+    }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -65,7 +65,7 @@
                 Choice.NotResident -> if (!awaitModel(nowMillis)) return null
 
                 Choice.Full -> {
-                    refuseOrFail("all servers with the model are full")
+                    refuseOrFail("all servers with ${wanted ?: "the service"} are full or suspected")
                     return null
                 }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/ElectionDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ElectionDuty.kt
@@ -18,15 +18,21 @@
 import mustarddale.instance.serving.feed.TopicRecord
 import mustarddale.serving.leadership.ElectionStep
 import mustarddale.serving.leadership.ElectionTimes
+import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderElection
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.leadership.LoggedLeader
 import mustarddale.time.Clock
 
-/** A leadership that this instance has won. */
+/**
+ * A leadership that this instance has won.
+ *
+ * @property orderBefore the newest order that another leader may have given.
+ */
 public data class WonTerm(
     public val term: Long,
     public val predecessor: LeaderRecord?,
+    public val orderBefore: LastOrder?,
     public val sinceMillis: Long
 )
 
@@ -40,7 +46,7 @@
     private val election = LeaderElection(
         self.instance,
         self.run,
-        ElectionTimes(LEASE_MILLIS, RENEWAL_MILLIS, DRIFT_MILLIS)
+        ElectionTimes(LEASE_MILLIS, RENEWAL_MILLIS, ORDER_MILLIS, DRIFT_MILLIS)
     )
     private val wakeups = Channel<Unit>(Channel.CONFLATED)
     private var isLeaving = false
@@ -61,6 +67,12 @@
         return election.ownTerm(clock.monotonicMillis())
     }
 
+    /** Whether this instance may give orders to engines now. */
+    public fun mayOrder(): Boolean {
+        checkClock()
+        return election.mayOrder(clock.monotonicMillis())
+    }
+
     /** The newest known leader, null if there is none or it has resigned. */
     public fun leader(): LoggedLeader? = election.newest?.takeIf { !it.record.isResigning }
 
@@ -147,12 +159,16 @@
         val predecessor = election.newest?.record
         val record = describe(self.copy(term = step.term), predecessor)
         val sentMillis = clock.monotonicMillis()
+        val sinceOrders = election.sinceOrdersMillis(sentMillis)
+        val orderBefore = LastOrder.before(predecessor, self.instance, sinceOrders)
         election.sending(record, sentMillis)
         when (val result = log.appendAt(TOPIC, step.offset, encode(record))) {
             is AppendResult.Appended -> {
                 election.appended(record, result.firstOffset, sentMillis)
                 onRecorded(record)
-                if (step.term == LeaderRecord.UNKNOWN_TERM) won(result.firstOffset, predecessor)
+                if (step.term == LeaderRecord.UNKNOWN_TERM) {
+                    won(WonTerm(result.firstOffset, predecessor, orderBefore, sentMillis))
+                }
             }
 
             is AppendResult.NotAppended, is AppendResult.Unknown -> {
@@ -163,9 +179,14 @@
         }
     }
 
-    private fun won(term: Long, predecessor: LeaderRecord?) {
-        DecisionLog.record("leader_won", "term" to term, "predecessor" to predecessor?.instance)
-        onWon(WonTerm(term, predecessor, clock.monotonicMillis()))
+    private fun won(term: WonTerm) {
+        DecisionLog.record(
+            "leader_won",
+            "term" to term.term,
+            "predecessor" to term.predecessor?.instance,
+            "orderBefore" to term.orderBefore
+        )
+        onWon(term)
     }
 
     /** A jump between the clocks may be a suspension that the monotonic clock did not count. */
@@ -194,9 +215,12 @@
     private companion object {
         const val TOPIC = "leadership"
 
-        /** Short, so that a crash is noticed soon; three renewals fit into it. */
+        /** Short, so that a crash is noticed soon; four renewals fit into it. */
         const val LEASE_MILLIS = 2_000L
-        const val RENEWAL_MILLIS = 650L
+        const val RENEWAL_MILLIS = 500L
+
+        /** One renewal may take as long again before orders stop. */
+        const val ORDER_MILLIS = 1_000L
 
         /** Clocks of two machines drift by far less within one lease. */
         const val DRIFT_MILLIS = 100L
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
@@ -93,7 +93,7 @@
 
     private inner class Leadership(won: WonTerm) {
         val term = won.term
-        private val orderBefore = LastOrder.before(won.predecessor, holder)
+        private val orderBefore = won.orderBefore
         private val mayOrderAtMillis =
             won.sinceMillis + LastOrder.waitMillis(orderBefore, holder, orderLeaseMillis)
         private var orderedAtMillis: Long? = null
@@ -259,7 +259,7 @@
                 plan.inventories.values.filter { it.settle(nowMillis) }
                     .forEach { publish(plan, it) }
             }
-            if (nowMillis < mayOrderAtMillis) return
+            if (nowMillis < mayOrderAtMillis || !leadership.mayOrder()) return
             services.values.forEach { plan ->
                 val usable = plan.inventories.values.filter { mayGetOrders(it.engine) }
                 plan.adapterPlanner.plan(usable, plan.demand, nowMillis).forEach { give(plan, it) }
@@ -288,7 +288,7 @@
             order: EngineOrder
         ) {
             val sentMillis = clock.monotonicMillis()
-            if (current() !== this) {
+            if (current() !== this || !leadership.mayOrder()) {
                 inventory.answered(OrderAnswer.REFUSED, sentMillis)
                 return
             }
