Tell successors the shares by account; what unknown instances may hold is missing to all alike

The leadership record had one figure for all accounts of an instance, its largest share and half as much again, so the removed one blocked up to the whole of each account until its lease ended, and the last instances in the list got what was left: nothing. Change: the record tells the shares by account; what an unknown instance may hold is taken off all targets in proportion. An instance goes over to the whole rate at once if its leader says that it leads no more (a leader that says so lends only to instances that confirm a message sent after that).

--- a/core/src/main/kotlin/mustarddale/serving/quota/LoneShares.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/LoneShares.kt
@@ -21,6 +21,11 @@
         isAlone = false
     }
 
+    /** Notes that the leader whose shares are in force has told that it leads no more. */
+    public fun leaderEnded() {
+        if (heardAtMillis != Long.MAX_VALUE) heardAtMillis = Long.MIN_VALUE
+    }
+
     /** Returns what may be used of [granted] shares, which add up to [total] over the fleet. */
     public fun inForce(
         granted: Map<String, Double>,
--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareLedger.kt
@@ -7,6 +7,7 @@
  */
 package mustarddale.serving.quota
 
+import kotlin.math.ceil
 import kotlinx.serialization.Serializable
 
 /**
@@ -28,16 +29,28 @@
 public data class ShareGrant(public val revision: Long, public val shares: Map<String, Double>)
 
 /**
- * What an instance may hold at most of any account, as a successor has to assume it.
+ * What an instance may hold at most, as a successor has to assume it.
  *
+ * @property otherMaxShare its share of each account that [maxShares] does not name.
  * @property leftMillis how long its lease still lasts.
  */
 @Serializable
 public data class ShareHolder(
     public val instance: String,
-    public val maxShare: Double,
-    public val leftMillis: Long
-)
+    public val otherMaxShare: Double,
+    public val leftMillis: Long,
+    public val maxShares: Map<String, Double> = emptyMap()
+) {
+    /** Returns what the instance may hold at most of [account]. */
+    public fun maxShare(account: String): Double = maxShares[account] ?: otherMaxShare
+
+    /** Returns this holder with no more of any account than [other] says. */
+    public fun atMost(other: ShareHolder): ShareHolder = copy(
+        otherMaxShare = minOf(otherMaxShare, other.otherMaxShare),
+        maxShares = (maxShares.keys + other.maxShares.keys)
+            .associateWith { minOf(maxShare(it), other.maxShare(it)) }
+    )
+}
 
 /**
  * The shares of all instances, kept by the leader; belongs to one thread.
@@ -57,6 +70,7 @@
     private val unresolved = earlierHolders.associateByTo(HashMap()) { it.instance }
     private val unresolvedSinceMillis = startMillis
     private var lastDemandMillis = startMillis
+    private var confirmedFromMillis = Long.MIN_VALUE
 
     /** How many instances may hold shares. */
     public val holderCount: Int get() = (holdings.keys + unresolved.keys).size
@@ -64,16 +78,29 @@
     /** Returns what a successor has to assume, with room for the next grants. */
     public fun holders(nowMillis: Long): List<ShareHolder> {
         val accounts = holdings.values.flatMapTo(HashSet()) { it.demand.keys + it.accounts }
-        val targets = accounts.map { targets(it) }
+        val targets = accounts.associateWith { targets(it) }
+        val otherShare = withHeadroom(total / holdings.size.coerceAtLeast(1))
         val known = holdings.map { (instance, holding) ->
-            val wanted = targets.maxOfOrNull { it.getValue(instance) } ?: (total / holdings.size)
-            val most = holding.accounts.maxOfOrNull { holding.most(it) } ?: 0.0
-            val maxShare = (maxOf(wanted, most) * HEADROOM).coerceAtMost(total)
-            ShareHolder(instance, maxShare, leaseMillis + LEASE_MARGIN_MILLIS)
+            val maxShares = targets.mapValues { (account, target) ->
+                withHeadroom(maxOf(target.getValue(instance), holding.most(account)))
+            }
+            ShareHolder(
+                instance,
+                otherShare,
+                leaseMillis + LEASE_MARGIN_MILLIS,
+                maxShares.filterValues { it > otherShare }
+            )
         }
         return known + unresolved.values.map { it.copy(leftMillis = leftMillis(it, nowMillis)) }
     }
 
+    /** Rounded up to four digits, which keeps the records small. */
+    private fun withHeadroom(share: Double): Double =
+        (ceil(share * HEADROOM * ROUNDING) / ROUNDING).coerceAtMost(total)
+
+    private fun unresolvedShare(account: String): Double =
+        unresolved.values.sumOf { it.maxShare(account) }
+
     private fun leftMillis(holder: ShareHolder, nowMillis: Long): Long =
         unresolvedSinceMillis + holder.leftMillis - nowMillis
 
@@ -88,18 +115,27 @@
         report.wantedTokens.forEach { (account, tokens) ->
             holding.demand.merge(account, tokens, Double::plus)
         }
-        if (report.heardMillis != null) holding.heardOfMillis = report.heardMillis
+        report.heardMillis?.takeIf { it >= confirmedFromMillis }?.let { holding.heardOfMillis = it }
         return known == null
     }
 
     /**
-     * Returns which part of the rate of [account] the leader may lend: all that is not granted, less
-     * what instances may use that cannot be sure to have heard from it lately.
+     * Notes that the leader has told that it leads no more, so that instances may use the whole
+     * rate at once; it may still find that it goes on leading.
+     */
+    public fun leaderEnded(nowMillis: Long) {
+        confirmedFromMillis = nowMillis
+        holdings.values.forEach { it.heardOfMillis = null }
+    }
+
+    /**
+     * Returns which part of the rate of [account] the leader may lend: all that is not granted,
+     * less what instances may use that cannot be sure to have heard from it lately.
      */
     public fun lendablePart(account: String, nowMillis: Long): Double {
         val outOfReach = holdings.values
             .filter { LoneShares.mayBeAlone(it.heardOfMillis, nowMillis) }
-            .sumOf { it.most(account) } + unresolved.values.sumOf { it.maxShare }
+            .sumOf { it.most(account) } + unresolvedShare(account)
         return ((1 - total) * (1 - outOfReach / total)).coerceAtLeast(0.0)
     }
 
@@ -114,14 +150,16 @@
     ): Map<String, ShareGrant> {
         forget(nowMillis)
         fadeDemand(nowMillis)
-        val bounds = recorded.associate { it.instance to it.maxShare }
+        val bounds = recorded.associateBy { it.instance }
         val granted = holdings.mapValues { HashMap<String, Double>() }
         for (account in accounts) {
+            val available = (total - unresolvedShare(account)).coerceAtLeast(0.0)
             val targets = targets(account)
-            val taken = holdings.values.sumOf { it.most(account) }
-            var free = total - unresolved.values.sumOf { it.maxShare } - taken
+            var free = available - holdings.values.sumOf { it.most(account) }
             for ((instance, holding) in holdings) {
-                val target = minOf(targets.getValue(instance), bounds[instance] ?: 0.0)
+                // What unknown instances may hold is missing to all alike, not to the last ones.
+                val part = targets.getValue(instance) * available / total
+                val target = minOf(part, bounds[instance]?.maxShare(account) ?: 0.0)
                 val most = holding.most(account)
                 val raise = (target - most).coerceIn(0.0, free.coerceAtLeast(0.0))
                 free -= raise
@@ -179,6 +217,8 @@
         /** Part that is divided evenly, so that an instance's first requests find tokens. */
         const val EVEN_PART = 0.3
 
+        const val ROUNDING = 10_000
+
         /** Shares may grow by half before the next leadership record is written. */
         const val HEADROOM = 1.5
 
--- a/core/src/main/kotlin/mustarddale/serving/residency/AbsentModelPolicy.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/AbsentModelPolicy.kt
@@ -32,7 +32,7 @@
     /**
      * Decides on [request] at [nowMillis].
      *
-     * @param expectedAtMillis when the model should be there, null if no engine was told to load it.
+     * @param expectedAtMillis when the model should be there, null if it was not ordered anywhere.
      */
     public fun decide(
         request: AbsentModelRequest,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -65,7 +65,9 @@
                 Choice.NotResident -> if (!awaitModel(nowMillis)) return null
 
                 Choice.Full -> {
-                    refuseOrFail("all servers with ${wanted ?: "the service"} are full or suspected")
+                    refuseOrFail(
+                        "all servers with ${wanted ?: "the service"} are full or suspected"
+                    )
                     return null
                 }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderDuty.kt
@@ -71,7 +71,10 @@
 
     private fun current(): Leadership? {
         val term = leadership.ownTerm()
-        return newest?.takeIf { it.term == term }
+        val known = newest ?: return null
+        if (known.term == term) return known
+        known.ended()
+        return null
     }
 
     private fun begin(won: WonTerm) {
@@ -135,9 +138,7 @@
             val next = ledger.holders(clock.monotonicMillis())
             val before = recordedHolders.associateBy { it.instance }
             recordedHolders = next.mapNotNull { holder ->
-                before[holder.instance]?.let {
-                    holder.copy(maxShare = minOf(holder.maxShare, it.maxShare))
-                }
+                before[holder.instance]?.let { holder.atMost(it) }
             }
             return next
         }
@@ -166,6 +167,12 @@
             return LeaderMessage.TokensGiven(wanted.number, waitMillis)
         }
 
+        /** Whoever asks is told that this instance does not lead, and may stop to rely on it. */
+        fun ended() {
+            ledger.leaderEnded(clock.monotonicMillis())
+            grantedAtMillis = 0L
+        }
+
         private fun shareReport(report: LeaderMessage.Report) = ShareReport(
             report.instance,
             report.run,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLink.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLink.kt
@@ -50,6 +50,7 @@
     private val urgent = Channel<Unit>(Channel.CONFLATED)
     private val asks = ArrayDeque<LeaderMessage.TokensWanted>()
     private var isConnected = false
+    private var ownTerm: Long? = null
     private val changed = LinkedHashSet<Channel<Unit>>()
 
     /** Listens for instances and connects to the leader. */
@@ -118,8 +119,14 @@
     private suspend fun followSelf() {
         val report = member.report()
         val isLeading = leader.report(report)
-        leader.stateFor(self.instance, report.number, seenVersion = 0)?.let { member.apply(it) }
-        if (!isLeading) suspectLeader()
+        leader.stateFor(self.instance, report.number, seenVersion = 0)?.let {
+            ownTerm = it.term
+            member.apply(it)
+        }
+        if (!isLeading) {
+            member.leaderEnded(ownTerm)
+            suspectLeader()
+        }
         withTimeoutOrNull(if (isLeading) REPORT_MILLIS else 1) { urgent.receive() }
     }
 
@@ -155,15 +162,21 @@
         asks.clear()
         launch { writeReports(output) }
         isConnected = true
+        var term: Long? = null
         while (true) {
             when (val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }) {
                 is LeaderMessage.State -> {
+                    term = message.term
                     leadership.heardLeader(message.term)
                     member.apply(message)
                 }
 
                 is LeaderMessage.TokensGiven -> loans.answered(message)
-                is LeaderMessage.NotLeading -> throw IOException("the other end does not lead")
+                is LeaderMessage.NotLeading -> {
+                    member.leaderEnded(term)
+                    throw IOException("the other end does not lead")
+                }
+
                 else -> throw IOException("$message from the leader")
             }
         }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberDuty.kt
@@ -93,6 +93,13 @@
         if (message.engines.isNotEmpty()) state.wakeWaiting()
     }
 
+    /** Notes that the instance that led in [ledTerm] has told that it leads no more. */
+    public fun leaderEnded(ledTerm: Long?) {
+        if (ledTerm != term) return
+        loneShares.leaderEnded()
+        setShares(clock.monotonicMillis())
+    }
+
     private fun takeShares(message: LeaderMessage.State, nowMillis: Long) {
         val askedMillis = sentMillis[message.answers]
         if (askedMillis == null || message.revision == 0L) {
