Let requests wait for adapters and for a starting process's first shares; log inputs, thin out successes

Change: a request that lacks only its adapter waits for most of its caller's patience. StartGate holds requests while the process starts, for a second at most. Callers that still come too early are told 0.8 to 1.3 s instead of 0.5 s. Lines on requests now tell what decided (cost, open and holding servers, age of the load, tokens); successes are thinned out by the request's id above 100 lines a second, refusals and failures cut above 150, and what was left out is counted and told (LogVolumeTest).

--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendChoice.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendChoice.kt
@@ -16,8 +16,16 @@
 
 /** The outcome of a choice. */
 public sealed interface Choice {
-    /** The request goes to [backend]; [cost] is what decided. */
-    public data class Chosen(public val backend: Backend, public val cost: Double) : Choice
+    /**
+     * The request goes to [backend], whose [cost] was the least of [open] servers; [holders] serve
+     * what it asks for.
+     */
+    public data class Chosen(
+        public val backend: Backend,
+        public val cost: Double,
+        public val open: Int,
+        public val holders: Int
+    ) : Choice
 
     /** No server of the service may be used at all. */
     public data object NoBackend : Choice
@@ -51,9 +59,10 @@
         val open = holders.filter { it.backend.id !in excluded && it.mayTakeMore(nowMillis) }
         val sound = open.filter { !it.load.isSuspected(nowMillis) }
         val tried = open.filter { it.load.inFlight == 0 }
-        val best = sound.ifEmpty { tried }.minByOrNull { it.cost(homeDomain, nowMillis) }
-            ?: return Choice.Full
-        return Choice.Chosen(best.backend, best.cost(homeDomain, nowMillis))
+        val usable = sound.ifEmpty { tried }
+        val (best, cost) = usable.map { it to it.cost(homeDomain, nowMillis) }
+            .minByOrNull { it.second } ?: return Choice.Full
+        return Choice.Chosen(best.backend, cost, usable.size, holders.size)
     }
 
     private fun Candidate.mayTakeMore(nowMillis: Long): Boolean {
--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
@@ -85,6 +85,10 @@
         return (inFlight + others) / max(1, slots)
     }
 
+    /** Returns how long ago the server told its load, null if it never did. */
+    public fun toldAgeMillis(nowMillis: Long): Long? =
+        (nowMillis - toldAtMillis).takeIf { toldAtMillis > 0 }
+
     /** The part of its recent requests that failed, fading with time. */
     public fun failureScore(nowMillis: Long): Double {
         val age = (nowMillis - scoredAtMillis).coerceAtLeast(0)
--- a/core/src/main/kotlin/mustarddale/serving/residency/AbsentModelPolicy.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/AbsentModelPolicy.kt
@@ -20,11 +20,13 @@
  *
  * @property callerLeavesAtMillis when its caller gives up at the latest, or is answered in vain.
  * @property targetMillis the time within which its answer should begin.
+ * @property lacksAdapterOnly whether an engine holds the model, but not the adapter.
  */
 public data class AbsentModelRequest(
     public val arrivedAtMillis: Long,
     public val callerLeavesAtMillis: Long,
-    public val targetMillis: Long
+    public val targetMillis: Long,
+    public val lacksAdapterOnly: Boolean
 )
 
 /** The rules of waiting for absent models. */
@@ -44,6 +46,10 @@
             request.arrivedAtMillis + patienceMillis * 3 / 4,
             request.arrivedAtMillis + MAX_WAIT_MILLIS
         )
+        // Adapters load within milliseconds as soon as a place is free.
+        if (request.lacksAdapterOnly && nowMillis < latestMillis) {
+            return AbsentModelDecision.Wait(latestMillis)
+        }
         val isOverdue = expectedAtMillis != null && expectedAtMillis < nowMillis - OVERDUE_MILLIS
         if (expectedAtMillis == null || isOverdue) {
             val orderedMillis = maxOf(ORDER_MILLIS, request.targetMillis * 3 / 4)
--- a/core/src/test/kotlin/mustarddale/serving/residency/AbsentModelPolicyTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/residency/AbsentModelPolicyTest.kt
@@ -6,9 +6,12 @@
 import mustarddale.serving.residency.AbsentModelDecision.Wait
 
 class AbsentModelPolicyTest {
-    private val live = AbsentModelRequest(10_000, callerLeavesAtMillis = 12_000, targetMillis = 300)
-    private val batch =
-        AbsentModelRequest(10_000, callerLeavesAtMillis = 22_000, targetMillis = 3_000)
+    private val live = request(leavesAtMillis = 12_000, targetMillis = 300)
+    private val batch = request(leavesAtMillis = 22_000, targetMillis = 3_000)
+    private val adapter = live.copy(lacksAdapterOnly = true)
+
+    private fun request(leavesAtMillis: Long, targetMillis: Long) =
+        AbsentModelRequest(10_000, leavesAtMillis, targetMillis, lacksAdapterOnly = false)
 
     private data class Case(
         val name: String,
@@ -27,6 +30,8 @@
         Case("a batch job has more time", batch, null, 10_400, Wait(12_250)),
         Case("a load that is a little late is awaited", live, 10_450, 10_900, Wait(11_500)),
         Case("a load that is very late counts as unknown", live, 10_450, 11_000, ComeBack(1_000)),
+        Case("a place for an adapter is awaited", adapter, null, 11_499, Wait(11_500)),
+        Case("but not for ever", adapter, null, 11_500, ComeBack(1_000)),
         Case("a model that comes just too late", live, 11_550, 11_450, ComeBack(200))
     )
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -135,6 +135,7 @@
         Admission(state),
         forwarder,
         loans,
+        state.startGate,
         clock,
         ::closeIfLeaving,
         ::mayAdmit
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
@@ -34,7 +34,8 @@
             ?: return failure(
                 ErrorKind.NOT_READY,
                 "no configuration is known yet",
-                retryAfterMillis = NOT_READY_RETRY_MILLIS
+                retryAfterMillis = NOT_READY_RETRY_MILLIS +
+                    Math.floorMod(head.requestId.hashCode(), NOT_READY_SPREAD_MILLIS)
             )
         val route = state.routes.find(head.host, head.path)
             ?: return failure(ErrorKind.ROUTE_UNKNOWN, "no route for ${head.host}${head.path}")
@@ -99,7 +100,10 @@
     }
 
     private companion object {
-        /** An instance that starts knows its configuration within a second. */
-        const val NOT_READY_RETRY_MILLIS = 500L
+        /** An instance that starts knows its configuration, and its shares, within a second. */
+        const val NOT_READY_RETRY_MILLIS = 800L
+
+        /** Keeps callers from returning together while the instance is still slow. */
+        const val NOT_READY_SPREAD_MILLIS = 500
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -25,6 +25,7 @@
 import mustarddale.instance.serving.leader.TokenLoans
 import mustarddale.instance.serving.protocol.CallerHead
 import mustarddale.instance.serving.protocol.ServingProtocol
+import mustarddale.instance.serving.state.StartGate
 import mustarddale.time.Clock
 
 /** Serves callers; runs in [scope], whose dispatcher is the event loop. */
@@ -34,6 +35,7 @@
     private val admission: Admission,
     private val forwarder: Forwarder,
     private val loans: TokenLoans,
+    private val startGate: StartGate,
     private val clock: Clock,
     private val onRequest: (ServiceRequestContext) -> Unit,
     private val mayAdmit: () -> Boolean
@@ -72,6 +74,7 @@
                 writer.refuse(Refusal(ErrorKind.INVALID_REQUEST, "the request has no id"))
                 return
             }
+            startGate.pass()
             if (!mayAdmit()) {
                 val refusal = leavingRefusal()
                 logRefused(head, refusal)
@@ -145,9 +148,10 @@
     )
 
     private fun logRefused(head: CallerHead, refusal: Refusal) {
-        DecisionLog.record(
+        DecisionLog.recordRequest(
             "refused",
-            "request" to head.requestId,
+            head.requestId,
+            isGood = false,
             "kind" to refusal.kind.code,
             "reason" to refusal.message,
             "retryAfterMillis" to refusal.retryAfterMillis
@@ -155,9 +159,10 @@
     }
 
     private fun logLeft(head: CallerHead, arrivedAtMillis: Long) {
-        DecisionLog.record(
+        DecisionLog.recordRequest(
             "caller_left",
-            "request" to head.requestId,
+            head.requestId,
+            isGood = false,
             "afterMillis" to clock.monotonicMillis() - arrivedAtMillis
         )
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarding.kt
@@ -42,14 +42,14 @@
         }
         state.budgetOf(request.service).requested(clock.monotonicMillis())
         while (true) {
-            val backend = choose() ?: return
-            val isDone = attempt(backend)
+            val chosen = choose() ?: return
+            val isDone = attempt(chosen)
             if (isDone) return
-            excluded += backend.id
+            excluded += chosen.backend.id
         }
     }
 
-    private suspend fun choose(): Backend? {
+    private suspend fun choose(): Choice.Chosen? {
         while (true) {
             val nowMillis = clock.monotonicMillis()
             val wanted = request.head.wanted
@@ -57,7 +57,7 @@
             val made = choice.choose(candidates, wanted, excluded, homeDomain, nowMillis)
             when (made) {
                 is Choice.Chosen -> {
-                    if (log.arrivals == 0 || mayRetry(nowMillis)) return made.backend
+                    if (log.arrivals == 0 || mayRetry(nowMillis)) return made
                     refuseOrFail("retry budget is used up")
                     return null
                 }
@@ -89,7 +89,8 @@
             return false
         }
         val expectedAtMillis = state.expectedAtMillis(request.service, awaited.wanted.model)
-        val decision = AbsentModelPolicy.decide(absentModel(), expectedAtMillis, nowMillis)
+        val absent = absentModel(awaited)
+        val decision = AbsentModelPolicy.decide(absent, expectedAtMillis, nowMillis)
         if (decision is AbsentModelDecision.Wait && !state.modelWaiters.isClosed) {
             state.onUrgentDemand()
             val waitMillis = minOf(decision.untilMillis - nowMillis, RECHECK_MILLIS)
@@ -107,16 +108,21 @@
         return false
     }
 
-    private fun absentModel() = AbsentModelRequest(
+    private fun absentModel(awaited: Awaited) = AbsentModelRequest(
         arrivedAtMillis = request.arrivedAtMillis,
         callerLeavesAtMillis = request.callerLeavesAtMillis,
-        targetMillis = request.route.targetMillis
+        targetMillis = request.route.targetMillis,
+        lacksAdapterOnly = awaited.wanted.adapter != null &&
+            state.candidates(request.service, awaited.wanted)
+                .any { awaited.wanted.model in it.backend.models }
     )
 
-    /** Sends the request to [backend]; true if the caller has its final answer. */
-    private suspend fun attempt(backend: Backend): Boolean {
+    /** Sends the request to the server [chosen]; true if the caller has its final answer. */
+    private suspend fun attempt(chosen: Choice.Chosen): Boolean {
+        val backend = chosen.backend
         val load = state.loadOf(backend)
         val sentMillis = clock.monotonicMillis()
+        val toldAgeMillis = load.toldAgeMillis(sentMillis)
         load.sent(sentMillis)
         mayBeRunning = true
         // Whoever cancels the request does not speak against the server.
@@ -125,7 +131,7 @@
             val headers = protocol.forward(request.headers, hop(backend))
             val start =
                 exchange.send(backend.address, request.head.requestId, headers, request.body)
-            log.sent(backend, start, sentMillis)
+            log.sent(chosen, toldAgeMillis, start, sentMillis)
             val attempt = settle(backend, load, start)
             ending = attempt.ending
             return attempt.isFinal
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -3,9 +3,10 @@
 import io.micrometer.core.instrument.Metrics
 import io.micrometer.core.instrument.Timer
 import java.time.Duration
+import java.util.Locale
 import java.util.concurrent.TimeUnit
 import mustarddale.instance.serving.DecisionLog
-import mustarddale.serving.backend.Backend
+import mustarddale.serving.backend.Choice
 import mustarddale.time.Clock
 
 /** Logs and measures what becomes of [request], which was admitted under [version]. */
@@ -23,17 +24,26 @@
     var arrivals: Int = 0
         private set
 
-    /** Notes how the sending to [backend] at [sentMillis] began. */
-    fun sent(backend: Backend, start: ExchangeStart, sentMillis: Long) {
+    /**
+     * Notes how the sending to the server [chosen] at [sentMillis] began.
+     *
+     * @param toldAgeMillis how old the load was that the server had told.
+     */
+    fun sent(chosen: Choice.Chosen, toldAgeMillis: Long?, start: ExchangeStart, sentMillis: Long) {
         val nowMillis = clock.monotonicMillis()
         if (start !is ExchangeStart.NotSent) arrivals++
         if (start is ExchangeStart.Answered && firstMillis == null) {
             firstMillis = nowMillis - request.arrivedAtMillis
         }
-        DecisionLog.record(
+        DecisionLog.recordRequest(
             "sent",
-            "request" to request.head.requestId,
-            "backend" to backend.id,
+            request.head.requestId,
+            isGood = start is ExchangeStart.Answered && !start.headers.status().isServerError,
+            "backend" to chosen.backend.id,
+            "cost" to "%.3f".format(Locale.ROOT, chosen.cost),
+            "open" to chosen.open,
+            "holders" to chosen.holders,
+            "toldAgeMillis" to toldAgeMillis,
             "wanted" to request.head.wanted,
             "tookMillis" to nowMillis - sentMillis,
             "outcome" to outcomeOf(start)
@@ -43,18 +53,20 @@
     /** Notes that the caller has its whole answer, with [status]. */
     fun finished(status: String) {
         firstMillis?.let { firstByteTimer().record(it, TimeUnit.MILLISECONDS) }
-        ended("finished", status)
+        ended("finished", status, isGood = !status.startsWith("5"))
     }
 
     /** Notes that the request ended by [event]. */
-    fun ended(event: String, reason: String) {
-        DecisionLog.record(
+    fun ended(event: String, reason: String, isGood: Boolean = false) {
+        DecisionLog.recordRequest(
             event,
-            "request" to request.head.requestId,
+            request.head.requestId,
+            isGood,
             "route" to request.route.name,
             "service" to request.service,
             "wanted" to request.head.wanted,
             "account" to request.account?.name,
+            "tokens" to request.tokens.toLong(),
             "reason" to reason,
             "afterMillis" to clock.monotonicMillis() - request.arrivedAtMillis,
             "waitedMillis" to waitedMillis,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberDuty.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberDuty.kt
@@ -131,6 +131,7 @@
             DecisionLog.record("shares_without_leader", "term" to term, "total" to shareTotal)
         }
         state.quota.setShares(inForce, accounts, nowMillis)
+        if (inForce.isNotEmpty() && state.configuration != null) state.startGate.open()
     }
 
     private companion object {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ResidencyView.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ResidencyView.kt
@@ -18,7 +18,7 @@
         heardAtMillis = nowMillis
     }
 
-    /** Takes in what the leader says that [engine] holds, and what should be there at which time. */
+    /** Takes in what the leader says that [engine] holds, and what is expected there when. */
     public fun put(
         engine: String,
         models: Map<String, Collection<String>>,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -31,6 +31,9 @@
     /** The backend servers. */
     public val directory: BackendDirectory = BackendDirectory()
 
+    /** Where requests wait while the process starts. */
+    public val startGate: StartGate = StartGate(clock)
+
     /** Requests that wait for a model. */
     public val modelWaiters: ModelWaiters = ModelWaiters()
 
@@ -71,6 +74,7 @@
         if (version != null && next.version <= version) return
         configuration = next
         routes = RouteTable(next.routes)
+        if (!next.hasAccounts) startGate.open()
         quota.refill(next.accounts.values, clock.monotonicMillis())
         DecisionLog.record(
             "configuration_taken",
@@ -132,7 +136,7 @@
         }
     }
 
-    /** Returns when [model] should be at an engine of [service], null if none was told to load it. */
+    /** Returns when [model] should be at an engine of [service], null if none was told so. */
     public fun expectedAtMillis(service: String, model: String): Long? = directory.backends
         .filter { it.service == service && !it.isDraining && it.failureDomain !in closedDomains }
         .mapNotNull { residency.expectedAtMillis(it.id, model) }
