--- a/cli/src/main/kotlin/mustarddale/cli/Main.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/Main.kt
@@ -21,6 +21,7 @@
         StandInCommand(),
         EntryCommand(),
         WarmUpCommand(),
+        ExplainCommand(),
         DemoCommand(),
         VersionCommand()
     )
