--- a/cli/src/test/kotlin/mustarddale/cli/LeaveTest.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/LeaveTest.kt
@@ -1,5 +1,7 @@
 package mustarddale.cli
 
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import java.util.concurrent.CompletableFuture
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -18,7 +20,7 @@
                 val body = stack.chatBody("s$it", isStreamed = it % 2 == 0)
                 stack.send(0, "/v1/chat/completions", body)
             }
-            TestStack.within4Seconds("all calls are at the engines") {
+            TestStack.within4Seconds({ "all calls are at the engines: ${state(stack, calls)}" }) {
                 stack.engines.sumOf { it.calls.calls.size } >= calls.size
             }
             stack.instances[0].leave()
@@ -30,4 +32,16 @@
             assertEquals(200, stack.chat(1).status().code())
         }
     }
+
+    /** What a failure needs to be traced: where the calls are, and what ended early. */
+    private fun state(
+        stack: TestStack,
+        calls: List<CompletableFuture<AggregatedHttpResponse>>
+    ): String {
+        val arrived = stack.engines.map { it.calls.calls.size }
+        val ended = calls.filter { it.isDone }.map { it.join() }
+        return "$arrived at the engines, ended ${ended.map {
+            "${it.status()} ${it.contentUtf8()}"
+        }}"
+    }
 }
--- a/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
@@ -175,14 +175,17 @@
         fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
         /** Asks until [isTrue], at the most for the 4 s that a change may take. */
-        fun within4Seconds(what: String, isTrue: () -> Boolean) {
+        fun within4Seconds(what: String, isTrue: () -> Boolean) = within4Seconds({ what }, isTrue)
+
+        /** The same, with a message that is made on failure. */
+        fun within4Seconds(what: () -> String, isTrue: () -> Boolean) {
             val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(4)
             var isDone = isTrue()
             while (!isDone && System.nanoTime() < end) {
                 LockSupport.parkNanos(20_000_000)
                 isDone = isTrue()
             }
-            assertTrue(isDone, what)
+            assertTrue(isDone, if (isDone) null else what())
         }
     }
 }
