--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
@@ -6,6 +6,7 @@
 
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.RequestHeaders
+import java.util.Locale
 import mustarddale.error.ErrorKind
 import mustarddale.error.Outcome
 import mustarddale.error.failure
@@ -67,7 +68,8 @@
         nowMillis: Long
     ): Outcome.Failure = failure(
         ErrorKind.RATE_EXCEEDED,
-        "account ${account.name} has a share of ${state.quota.shareOf(account.name)} here",
+        "account %s has a share of %.4f here"
+            .format(Locale.ROOT, account.name, state.quota.shareOf(account.name)),
         retryAfterMillis = state.quota.waitMillis(account, tokens, nowMillis)
     )
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -135,7 +135,12 @@
             val waitMillis = minOf(refusal.retryAfterMillis ?: 0, lentAfter ?: Long.MAX_VALUE)
             val leftMillis = arrivedAtMillis + MAX_TOKEN_WAIT_MILLIS - clock.monotonicMillis()
             if (waitMillis > leftMillis) {
-                return Outcome.Failure(refusal.copy(retryAfterMillis = waitMillis))
+                val pool =
+                    lentAfter?.let { "the pool is empty for $it ms" } ?: "no answer of a leader"
+                val reason = "${refusal.message}, $pool"
+                return Outcome.Failure(
+                    refusal.copy(message = reason, retryAfterMillis = waitMillis)
+                )
             }
             delay(waitMillis.coerceAtLeast(1))
         }
@@ -153,6 +158,7 @@
             head.requestId,
             isGood = false,
             "kind" to refusal.kind.code,
+            "tokens" to admission.tokensOf(head, admission.accountOf(head)).toLong(),
             "reason" to refusal.message,
             "retryAfterMillis" to refusal.retryAfterMillis
         )
