--- a/core/src/main/kotlin/mustarddale/serving/leadership/LastOrder.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LastOrder.kt
@@ -19,7 +19,7 @@
          * Returns the newest order that another leader may have given when an instance takes over
          * from [predecessor]; null if there was none.
          *
-         * @param sinceMillis how long ago the predecessor gave its last order at the latest, if it
+         * @param sinceMillis how long ago, at least, the predecessor gave its last order, if it
          *   did not resign.
          */
         public fun before(
