--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/StartGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/StartGate.kt
@@ -17,9 +17,16 @@
         opened.complete(Unit)
     }
 
+    /** Returns for how long a request that comes now waits at the most, in milliseconds. */
+    public fun leftMillis(): Long = if (opened.isCompleted) {
+        0
+    } else {
+        (opensAtMillis - clock.monotonicMillis()).coerceAtLeast(0)
+    }
+
     /** Returns once requests can be admitted, or the start has taken too long. */
     public suspend fun pass() {
-        val leftMillis = opensAtMillis - clock.monotonicMillis()
+        val leftMillis = leftMillis()
         if (leftMillis > 0) withTimeoutOrNull(leftMillis) { opened.await() }
     }
 
--- a/instance/src/test/kotlin/mustarddale/instance/serving/StartGateTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/StartGateTest.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
-import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.runBlocking
 import mustarddale.instance.serving.state.StartGate
 import mustarddale.time.Clock
@@ -19,24 +18,37 @@
     }
 
     @Test
-    fun `requests wait until the gate opens or the start has taken a second`() =
-        runBlocking(Dispatchers.Unconfined) {
-            // Each: when the request comes, whether the gate has opened by then, whether it passes.
-            listOf(
-                Triple(0L, false, false),
-                Triple(0L, true, true),
-                Triple(999L, false, false),
-                Triple(1_000L, false, true)
-            ).forEach { (atMillis, hasOpened, passes) ->
-                nowMillis = 0
-                val gate = StartGate(clock)
-                if (hasOpened) gate.open()
-                nowMillis = atMillis
-                val request = async(start = CoroutineStart.UNDISPATCHED) { gate.pass() }
-                assertEquals(passes, request.isCompleted, "at $atMillis ms, open: $hasOpened")
-                gate.open()
-                request.join()
-                request.cancelAndJoin()
-            }
+    fun `how long a request waits at the most`() {
+        // Each: when the request comes, whether the gate has opened by then, what is left.
+        listOf(
+            Triple(0L, false, 1_000L),
+            Triple(0L, true, 0L),
+            Triple(999L, false, 1L),
+            Triple(999L, true, 0L),
+            Triple(1_000L, false, 0L),
+            Triple(5_000L, false, 0L)
+        ).forEach { (atMillis, hasOpened, expected) ->
+            nowMillis = 0
+            val gate = StartGate(clock)
+            if (hasOpened) gate.open()
+            nowMillis = atMillis
+            assertEquals(expected, gate.leftMillis(), "at $atMillis ms, open: $hasOpened")
         }
+    }
+
+    @Test
+    fun `a request waits until the gate opens`() = runBlocking(Dispatchers.Unconfined) {
+        val gate = StartGate(clock)
+        // Far from the end of the start, so that only the opening can end the wait.
+        nowMillis = -FAR_MILLIS
+        val request = async(start = CoroutineStart.UNDISPATCHED) { gate.pass() }
+        assertEquals(false, request.isCompleted)
+        gate.open()
+        request.join()
+        assertEquals(0, gate.leftMillis())
+    }
+
+    private companion object {
+        const val FAR_MILLIS = 1_000_000L
+    }
 }
