Let the leader permit each request to a cold backend server

What callers saw: a cold server crashed or slowed down under more requests than it bears, and the requests on it were lost.

Cause: the limit of a cold server was divided by the number of instances, and each part was raised to at least one request per second. With more instances than the limit allows requests (73 instances, 23 requests) all together exceeded it.

Change: ColdStartLimiter grants a permit for each request, on the leader, from a window that covers a second and the lifetime of a permit. It allows what the server says it bears; the rest of the users' bound is for requests sent before an instance knew that the server is cold. Instances ask over the connection that loans of tokens use (LeaderLoans, before TokenBorrower). Without an answer the server is avoided, and a new leader grants nothing within the first window, so the limit holds without a leader too.

Weighed: shares granted ahead (at 73 instances a permit would usually be where no request is), a subset of instances by rendezvous hashing (needs an agreed list of instances, and refuses three of four requests for a model that only the cold server holds).

--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
@@ -30,16 +30,15 @@
     private var successiveLosses = 0
     private var suspectedUntilMillis = 0L
     private var coldUntilMillis = 0L
-    private val coldSends = ArrayDeque<Long>()
+    private var nextColdSendMillis = 0L
 
     /** The number of this instance's requests that are in flight to the server. */
     public var inFlight: Int = 0
         private set
 
     /** Records that a request is sent. */
-    public fun recordSent(nowMillis: Long) {
+    public fun recordSent() {
         inFlight++
-        if (isCold(nowMillis)) coldSends.addLast(nowMillis)
     }
 
     /** Records that a request has ended with [outcome]. */
@@ -73,14 +72,19 @@
     /** Whether the server was started recently and can handle only a few requests. */
     public fun isCold(nowMillis: Long): Boolean = nowMillis < coldUntilMillis
 
-    /** Returns how many requests were sent to the cold server in the last [windowMillis]. */
-    public fun coldSendsWithin(windowMillis: Long, nowMillis: Long): Int {
-        while (coldSends.isNotEmpty() && coldSends.first() <= nowMillis - windowMillis) {
-            coldSends.removeFirst()
-        }
-        return coldSends.size
+    /** Marks the server as cold for at least [millis] from now. */
+    public fun assumeCold(millis: Long, nowMillis: Long) {
+        coldUntilMillis = maxOf(coldUntilMillis, nowMillis + millis)
+    }
+
+    /** Records that the leader has no permit for this server before [untilMillis]. */
+    public fun deferColdSends(untilMillis: Long) {
+        nextColdSendMillis = untilMillis
     }
 
+    /** Whether the server can handle only a few requests and the leader may have a permit. */
+    public fun mayRequestColdPermit(nowMillis: Long): Boolean = nowMillis >= nextColdSendMillis
+
     /** Whether the last requests were lost, so that only one at a time should probe the server. */
     public fun isSuspected(nowMillis: Long): Boolean =
         nowMillis < suspectedUntilMillis || successiveLosses >= SUSPICION_LOSSES && inFlight > 0
--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendSelector.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendSelector.kt
@@ -10,13 +10,12 @@
 /**
  * A backend server that may run the request.
  *
- * @property coldRequestLimit the requests per second that this instance may send to the server
- *   while it is cold.
+ * @property isColdLimited whether a request to the server needs a permit while the server is cold.
  */
 public data class Candidate(
     public val backend: Backend,
     public val load: BackendLoad,
-    public val coldRequestLimit: Int
+    public val isColdLimited: Boolean
 )
 
 /** The result of a selection. */
@@ -27,12 +26,15 @@
      * @property cost the load per slot of the server plus penalties; the lowest of all.
      * @property availableCount the number of servers that could have been selected.
      * @property holderCount the number of servers that hold the model, available or not.
+     * @property needsColdPermit whether the server is cold, so that the leader has to permit the
+     *   request.
      */
     public data class Selected(
         public val backend: Backend,
         public val cost: Double,
         public val availableCount: Int,
-        public val holderCount: Int
+        public val holderCount: Int,
+        public val needsColdPermit: Boolean
     ) : BackendSelection
 
     /** The service has no server that accepts requests. */
@@ -70,15 +72,23 @@
         val usable = healthy.ifEmpty { idle }
         val (best, cost) = usable.map { it to it.cost(homeDomain, nowMillis) }
             .minByOrNull { it.second } ?: return BackendSelection.NoCapacity
-        return BackendSelection.Selected(best.backend, cost, usable.size, holders.size)
+        return BackendSelection.Selected(
+            best.backend,
+            cost,
+            usable.size,
+            holders.size,
+            best.needsColdPermit(nowMillis)
+        )
     }
 
     private fun Candidate.hasCapacity(nowMillis: Long): Boolean {
         if (load.loadPerSlot(nowMillis) >= MAX_LOAD_PER_SLOT) return false
-        if (!load.isCold(nowMillis)) return true
-        return load.coldSendsWithin(COLD_WINDOW_MILLIS, nowMillis) < coldRequestLimit
+        return !needsColdPermit(nowMillis) || load.mayRequestColdPermit(nowMillis)
     }
 
+    private fun Candidate.needsColdPermit(nowMillis: Long): Boolean =
+        isColdLimited && load.isCold(nowMillis)
+
     private fun Candidate.cost(homeDomain: String, nowMillis: Long): Double {
         val failurePenalty = load.failureScore(nowMillis) * FAILURE_PENALTY
         val domainPenalty = if (backend.failureDomain == homeDomain) 0.0 else OTHER_DOMAIN_PENALTY
@@ -102,8 +112,5 @@
 
         /** Keeps instances that see the same loads from selecting the same server. */
         const val MAX_TIE_BREAK = 0.03
-
-        /** Cold limits are given in requests per second. */
-        const val COLD_WINDOW_MILLIS = 1_000L
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -42,8 +42,8 @@
 import mustarddale.instance.serving.leader.LeaderConnections
 import mustarddale.instance.serving.leader.LeaderController
 import mustarddale.instance.serving.leader.LeaderElector
+import mustarddale.instance.serving.leader.LeaderLoans
 import mustarddale.instance.serving.leader.MemberAgent
-import mustarddale.instance.serving.leader.TokenBorrower
 import mustarddale.instance.serving.protocol.ServingProtocol
 import mustarddale.instance.serving.settings.ServingSettings
 import mustarddale.instance.serving.state.ServingState
@@ -119,13 +119,13 @@
     private val feeds = platform.feeds(state)
     private val memberAgent =
         MemberAgent(state, feeds.backends, ownRecord.instance, ownRecord.run, clock)
-    private val tokenBorrower = TokenBorrower(clock)
+    private val loans = LeaderLoans(clock)
     private val leaderConnections = LeaderConnections(
         ownRecord,
         elector,
         memberAgent,
         leaderController,
-        tokenBorrower,
+        loans,
         feeds.backends,
         dispatcher
     )
@@ -135,6 +135,7 @@
         BackendClient(clientFactory, platform.protocol),
         platform.protocol,
         settings.failureDomain,
+        loans,
         clock
     )
     private val callerService = CallerService(
@@ -142,7 +143,7 @@
         platform.protocol,
         Admission(state),
         forwarder,
-        tokenBorrower,
+        loans,
         state.startupGate,
         clock,
         ::closeConnectionOnShutdown,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -22,7 +22,7 @@
 import mustarddale.error.Outcome
 import mustarddale.error.Refusal
 import mustarddale.instance.serving.DecisionLog
-import mustarddale.instance.serving.leader.TokenBorrower
+import mustarddale.instance.serving.leader.LeaderLoans
 import mustarddale.instance.serving.protocol.RequestHead
 import mustarddale.instance.serving.protocol.ServingProtocol
 import mustarddale.instance.serving.state.StartupGate
@@ -39,7 +39,7 @@
     private val protocol: ServingProtocol,
     private val admission: Admission,
     private val forwarder: Forwarder,
-    private val tokenBorrower: TokenBorrower,
+    private val loans: LeaderLoans,
     private val startupGate: StartupGate,
     private val clock: Clock,
     private val onRequest: (ServiceRequestContext) -> Unit,
@@ -132,7 +132,7 @@
             val refusal = (admitted as? Outcome.Failure)?.refusal
             if (refusal?.kind != ErrorKind.RATE_EXCEEDED) return admitted
             val account = admission.accountOf(head) ?: return admitted
-            val loanWaitMillis = tokenBorrower.borrow(
+            val loanWaitMillis = loans.borrowTokens(
                 account.name,
                 admission.tokenCostOf(head, account)
             )
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
@@ -10,6 +10,7 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.error.Refusal
+import mustarddale.instance.serving.leader.LeaderLoans
 import mustarddale.instance.serving.protocol.ServingProtocol
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.BackendSelector
@@ -43,6 +44,7 @@
     internal val backendClient: BackendClient,
     internal val protocol: ServingProtocol,
     internal val localDomain: String,
+    internal val loans: LeaderLoans,
     internal val clock: Clock
 ) {
     /** Forwards [request] and writes the response to [writer]. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -29,6 +29,7 @@
     private val backendClient = forwarder.backendClient
     private val protocol = forwarder.protocol
     private val localDomain = forwarder.localDomain
+    private val loans = forwarder.loans
     private val clock = forwarder.clock
     private val triedBackendIds = HashSet<String>()
     private var possibleExecutions = 0
@@ -64,6 +65,7 @@
             )
             when (selection) {
                 is BackendSelection.Selected -> {
+                    if (selection.needsColdPermit && !obtainColdPermit(selection.backend)) continue
                     if (requestLog.reachedBackends == 0 || mayRetry(nowMillis)) return selection
                     refuseOrFail("the retry budget of the service is exhausted")
                     return null
@@ -86,6 +88,16 @@
         }
     }
 
+    /** Obtains a permit to send the request to the cold [server]; false if it cannot be sent. */
+    private suspend fun obtainColdPermit(server: Backend): Boolean {
+        val load = state.loadOf(server)
+        val waitMillis = loans.borrowColdPermit(server)
+        if (waitMillis == 0L) return state.acceptsRequests(server)
+        load.deferColdSends(clock.monotonicMillis() + (waitMillis ?: NO_LEADER_WAIT_MILLIS))
+        requestLog.logColdPermitRefused(server, waitMillis)
+        return false
+    }
+
     private fun mayRetry(nowMillis: Long): Boolean =
         state.retryBudgetOf(request.service).tryAcquire(state.instanceCount, nowMillis)
 
@@ -134,7 +146,7 @@
         val load = state.loadOf(backend)
         val sentMillis = clock.monotonicMillis()
         val reportedLoadAgeMillis = load.reportAgeMillis(sentMillis)
-        load.recordSent(sentMillis)
+        load.recordSent()
         mayBeRunning = true
         // A cancellation by the caller or the deadline must not count as a failure of the server.
         var outcome = RequestOutcome.GOOD
@@ -285,6 +297,9 @@
         /** Above the failure rate of healthy servers, 0.14 for one kind of request. */
         const val RETRY_FAILURE_SCORE = 0.25
 
+        /** How long cold servers are avoided after the leader did not answer. */
+        const val NO_LEADER_WAIT_MILLIS = 250L
+
         /** Bounds the memory of waiting requests, which take a few kilobytes each. */
         const val MAX_MODEL_WAITERS = 500
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -6,6 +6,7 @@
 import java.util.Locale
 import java.util.concurrent.TimeUnit
 import mustarddale.instance.serving.DecisionLog
+import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendSelection
 import mustarddale.time.Clock
 
@@ -56,6 +57,21 @@
         )
     }
 
+    /**
+     * Logs that the leader gave no permit for a request to the cold [server] for [waitMillis], null
+     * if it did not answer.
+     */
+    fun logColdPermitRefused(server: Backend, waitMillis: Long?) {
+        DecisionLog.recordRequest(
+            "cold_permit_refused",
+            request.head.requestId,
+            isSuccess = false,
+            "backend" to server.id,
+            "service" to request.service,
+            "waitMillis" to (waitMillis ?: "no leader answered")
+        )
+    }
+
     /** Logs that the caller has received its complete response with [status]. */
     fun logFinished(status: String) {
         responseHeadMillis?.let { firstByteTimer().record(it, TimeUnit.MILLISECONDS) }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
@@ -46,7 +46,7 @@
     private val elector: LeaderElector,
     private val member: MemberAgent,
     private val controller: LeaderController,
-    private val tokenBorrower: TokenBorrower,
+    private val loans: LeaderLoans,
     private val backends: KeyedFeed,
     eventLoop: CoroutineDispatcher
 ) : AutoCloseable {
@@ -54,14 +54,14 @@
     private val scope = CoroutineScope(SupervisorJob() + eventLoop)
     private val codec = FrameCodec(LeaderMessage.serializer())
     private val reportSignal = Channel<Unit>(Channel.CONFLATED)
-    private val tokenRequests = ArrayDeque<LeaderMessage.TokensWanted>()
+    private val loanRequests = ArrayDeque<LeaderMessage.LoanRequest>()
     private var isConnected = false
     private var ownTerm: Long? = null
     private val memberSignals = LinkedHashSet<Channel<Unit>>()
 
     /** Listens for instances and connects to the leader. */
     public fun start() {
-        tokenBorrower.send = ::requestTokens
+        loans.send = ::requestLoan
         scope.launch { listen() }
         scope.launch { followLeader() }
     }
@@ -81,14 +81,14 @@
         selector.close()
     }
 
-    private fun requestTokens(request: LeaderMessage.TokensWanted): Boolean {
+    private fun requestLoan(request: LeaderMessage.LoanRequest): Boolean {
         val answer = controller.lend(request)
         if (answer != null) {
-            tokenBorrower.handleAnswer(answer)
+            loans.handleAnswer(answer)
             return true
         }
-        if (!isConnected || tokenRequests.size >= MAX_TOKEN_REQUESTS) return false
-        tokenRequests.addLast(request)
+        if (!isConnected || loanRequests.size >= MAX_LOAN_REQUESTS) return false
+        loanRequests.addLast(request)
         reportSignal.trySend(Unit)
         return true
     }
@@ -166,7 +166,7 @@
     private suspend fun runMemberSession(socket: Socket): Unit = coroutineScope {
         val output = socket.openWriteChannel(autoFlush = false)
         val input = socket.openReadChannel()
-        tokenRequests.clear()
+        loanRequests.clear()
         launch { writeReports(output) }
         isConnected = true
         var term: Long? = null
@@ -178,7 +178,7 @@
                     member.apply(message)
                 }
 
-                is LeaderMessage.TokensGiven -> tokenBorrower.handleAnswer(message)
+                is LeaderMessage.LoanAnswer -> loans.handleAnswer(message)
                 is LeaderMessage.NotLeading -> {
                     member.handleLeadershipEnded(term)
                     throw IOException("the remote instance is not the leader")
@@ -191,7 +191,7 @@
 
     private suspend fun writeReports(output: ByteWriteChannel) {
         while (true) {
-            while (tokenRequests.isNotEmpty()) codec.write(output, tokenRequests.removeFirst())
+            while (loanRequests.isNotEmpty()) codec.write(output, loanRequests.removeFirst())
             codec.write(output, member.nextReport())
             withTimeoutOrNull(REPORT_INTERVAL_MILLIS) { reportSignal.receive() }
         }
@@ -220,7 +220,7 @@
                         lastReport = message
                     }
 
-                    is LeaderMessage.TokensWanted ->
+                    is LeaderMessage.LoanRequest ->
                         answers.addLast(controller.lend(message) ?: LeaderMessage.NotLeading)
 
                     else -> throw IOException("unexpected message from an instance: $message")
@@ -285,7 +285,7 @@
         const val CONNECT_TIMEOUT_MILLIS = 400L
 
         /** Bounds the queue while the connection is slow; further requests are refused. */
-        const val MAX_TOKEN_REQUESTS = 256
+        const val MAX_LOAN_REQUESTS = 256
 
         /** Each attempt reads the log once; an election takes several times as long as this. */
         const val RECONNECT_DELAY_MILLIS = 400L
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -1,7 +1,8 @@
 /*
- * The leader's work: shares of client accounts' rates (ShareController), and models and adapters on
- * engines (PlacementController). All its state can be rebuilt from the reports of instances and
- * engines, so a new leader needs only the last leadership record. Runs on the event loop.
+ * The leader's work: shares of client accounts' rates (ShareController), permits for requests to
+ * cold backend servers (ColdStartLimiter), and models and adapters on engines
+ * (PlacementController). All its state can be rebuilt from the reports of instances and engines, so
+ * a new leader needs only the last leadership record. Runs on the event loop.
  */
 package mustarddale.instance.serving.leader
 
@@ -10,6 +11,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.backend.ColdStartLimiter
 import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.time.Clock
@@ -80,9 +82,25 @@
         )
     }
 
-    /** Lends tokens from the pool; null if this instance is not the leader. */
-    public fun lend(request: LeaderMessage.TokensWanted): LeaderMessage.TokensGiven? =
-        activeTerm()?.shares?.lend(request)
+    /** Grants or refuses [request]; null if this instance is not the leader. */
+    public fun lend(request: LeaderMessage.LoanRequest): LeaderMessage.LoanAnswer? {
+        val current = activeTerm() ?: return null
+        return when (request) {
+            is LeaderMessage.TokensWanted -> current.shares.lend(request)
+            is LeaderMessage.ColdPermitWanted -> lendColdPermit(current, request)
+        }
+    }
+
+    private fun lendColdPermit(
+        current: TermWork,
+        request: LeaderMessage.ColdPermitWanted
+    ): LeaderMessage.LoanAnswer {
+        val limit = state.configuration?.services?.get(request.service)?.coldRequestsPerSecond
+        val waitMillis = limit?.let {
+            current.coldStarts.request(request.backend, it, clock.monotonicMillis())
+        }
+        return LeaderMessage.LoanAnswer(request.number, waitMillis ?: 0)
+    }
 
     private fun activeTerm(): TermWork? {
         val term = elector.ownTerm()
@@ -112,6 +130,7 @@
 
     private inner class TermWork(val leadership: LeadershipTerm) {
         val contents = EngineContentsRegistry { onStateChanged() }
+        val coldStarts = ColdStartLimiter(leadership.sinceMillis)
         val shares = ShareController(leadership, state, clock) { onStateChanged() }
         val placement = PlacementController(
             scope,
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLoans.kt
@@ -0,0 +1,84 @@
+/*
+ * Requests from the leader what this instance has no share of: tokens of client accounts, and
+ * permits for requests to cold backend servers. The leader counts a loan before it answers, so a
+ * lost answer loses the loan but never creates one. Runs on the event loop.
+ */
+package mustarddale.instance.serving.leader
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import mustarddale.serving.backend.Backend
+import mustarddale.serving.backend.ColdStartLimiter
+import mustarddale.time.Clock
+
+/** Borrows tokens and permits from the leader; sends requests by [send]. */
+public class LeaderLoans(private val clock: Clock) {
+    private val pendingRequests = HashMap<Long, CompletableDeferred<Long>>()
+    private val poolEmptyUntilMillis = HashMap<String, Long>()
+    private var lastNumber = 0L
+
+    /** Sends a message to the leader; returns false if there is no connection to one. */
+    public var send: (LeaderMessage.LoanRequest) -> Boolean = { false }
+
+    /**
+     * Borrows [tokens] of [account]; returns 0 if they were granted, else the milliseconds until
+     * the pool may have them, or null if the leader gave no answer.
+     */
+    public suspend fun borrowTokens(account: String, tokens: Double): Long? {
+        val emptyUntilMillis = poolEmptyUntilMillis[account] ?: 0
+        val nowMillis = clock.monotonicMillis()
+        if (nowMillis < emptyUntilMillis) return emptyUntilMillis - nowMillis
+        val waitMillis = request(TOKEN_TIMEOUT_MILLIS) {
+            LeaderMessage.TokensWanted(it, account, tokens)
+        } ?: return null
+        if (waitMillis > 0) {
+            val untilMillis =
+                clock.monotonicMillis() + waitMillis.coerceAtMost(MAX_POOL_EMPTY_MILLIS)
+            poolEmptyUntilMillis[account] = untilMillis
+        }
+        return waitMillis
+    }
+
+    /**
+     * Requests a permit for one request to the cold [server], to be sent at once; returns 0 if it
+     * was granted, else the milliseconds until the next one is available, or null if the leader
+     * gave no answer in time.
+     */
+    public suspend fun borrowColdPermit(server: Backend): Long? {
+        val sentMillis = clock.monotonicMillis()
+        val waitMillis = request(ColdStartLimiter.PERMIT_LIFETIME_MILLIS) {
+            LeaderMessage.ColdPermitWanted(it, server.service, server.id)
+        }
+        val ageMillis = clock.monotonicMillis() - sentMillis
+        return waitMillis?.takeIf { ageMillis < ColdStartLimiter.PERMIT_LIFETIME_MILLIS }
+    }
+
+    private suspend fun request(
+        timeoutMillis: Long,
+        message: (Long) -> LeaderMessage.LoanRequest
+    ): Long? {
+        lastNumber++
+        val number = lastNumber
+        val answer = CompletableDeferred<Long>()
+        pendingRequests[number] = answer
+        try {
+            if (!send(message(number))) return null
+            return withTimeoutOrNull(timeoutMillis) { answer.await() }
+        } finally {
+            pendingRequests.remove(number)
+        }
+    }
+
+    /** Passes the leader's answer to the waiting call, if it has not timed out. */
+    public fun handleAnswer(message: LeaderMessage.LoanAnswer) {
+        pendingRequests.remove(message.number)?.complete(message.waitMillis)
+    }
+
+    private companion object {
+        /** The leader answers within milliseconds; a request that waits longer is late anyway. */
+        const val TOKEN_TIMEOUT_MILLIS = 60L
+
+        /** Short, because shares that other instances return can refill the pool earlier. */
+        const val MAX_POOL_EMPTY_MILLIS = 100L
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -68,19 +68,35 @@
         public val backends: BackendNews? = null
     ) : LeaderMessage
 
-    /** An instance's request for [tokens] of [account] from the leader's pool. */
+    /** An instance's request for something that only the leader can grant. */
+    @Serializable
+    public sealed interface LoanRequest : LeaderMessage {
+        /** The sequence number of the request at its instance. */
+        public val number: Long
+    }
+
+    /** A request for [tokens] of [account] from the leader's pool. */
     @Serializable
     @SerialName("tokens-wanted")
     public data class TokensWanted(
-        public val number: Long,
+        override val number: Long,
         public val account: String,
         public val tokens: Double
-    ) : LeaderMessage
+    ) : LoanRequest
+
+    /** A request for a permit to send one request to the cold server [backend] of [service]. */
+    @Serializable
+    @SerialName("cold-permit-wanted")
+    public data class ColdPermitWanted(
+        override val number: Long,
+        public val service: String,
+        public val backend: String
+    ) : LoanRequest
 
-    /** Grants the requested tokens if [waitMillis] is 0, else says when to ask again. */
+    /** Grants the [LoanRequest] with [number] if [waitMillis] is 0, else says when to ask again. */
     @Serializable
-    @SerialName("tokens-given")
-    public data class TokensGiven(public val number: Long, public val waitMillis: Long) :
+    @SerialName("loan-answer")
+    public data class LoanAnswer(public val number: Long, public val waitMillis: Long) :
         LeaderMessage
 
     /** Tells an instance that the sender is not the leader. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
@@ -78,7 +78,7 @@
     }
 
     /** Lends tokens from the pool, or says in the answer how long the instance should wait. */
-    fun lend(request: LeaderMessage.TokensWanted): LeaderMessage.TokensGiven {
+    fun lend(request: LeaderMessage.TokensWanted): LeaderMessage.LoanAnswer {
         val nowMillis = clock.monotonicMillis()
         if (nowMillis - grantedAtMillis > MAX_GRANT_GAP_MILLIS) grant(nowMillis)
         val account = state.configuration?.accounts?.get(request.account)
@@ -87,7 +87,7 @@
             pool.tryTake(account, request.tokens, nowMillis) -> 0
             else -> pool.waitMillis(account, request.tokens, nowMillis).coerceAtLeast(1)
         }
-        return LeaderMessage.TokensGiven(request.number, waitMillis)
+        return LeaderMessage.LoanAnswer(request.number, waitMillis)
     }
 
     /** Handles the loss of leadership, of which other instances have been or will be notified. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
@@ -13,9 +13,6 @@
  * @property instance the instance's name, which stays the same when its process is replaced.
  * @property readyPort the port of the readiness check.
  * @property peerPort the port for connections of other instances.
- * @property coldRateFactor multiplies the request rate of a cold server to get the limit within one
- *   second.
- * @property coldExtraRequests the number of requests added to that limit.
  * @property quotaSlackTokens by how much an account's use in one window may exceed its limit.
  * @property termGraceMillis the time between SIGTERM and the kill of the process.
  * @property orderLeaseMillis the minimum time between orders of two successive leaders to engines.
@@ -29,8 +26,6 @@
     public val peerPort: Int,
     public val metricsPort: Int,
     public val store: BackendAddress,
-    public val coldRateFactor: Double,
-    public val coldExtraRequests: Double,
     public val retryLimits: RetryLimits,
     public val quotaSlackTokens: Double,
     public val termGraceMillis: Long,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -139,10 +139,16 @@
 
     /** Returns when an engine of [service] should first hold [model], null if none is expected. */
     public fun expectedAtMillis(service: String, model: String): Long? = directory.backends
-        .filter { it.service == service && !it.isDraining && it.failureDomain !in drainingDomains }
+        .filter { it.service == service && acceptsRequests(it) }
         .mapNotNull { residency.expectedAtMillis(it.id, model) }
         .minOrNull()
 
+    /** Whether [backend] is listed, not draining, and in a failure domain that is in use. */
+    public fun acceptsRequests(backend: Backend): Boolean {
+        val listed = directory.find(backend.id) ?: return false
+        return !listed.isDraining && listed.failureDomain !in drainingDomains
+    }
+
     /** Returns the known load of [backend]. */
     public fun loadOf(backend: Backend): BackendLoad =
         loadsByBackend.getOrPut(backend.id) { BackendLoad(backend.slots) }
@@ -153,13 +159,11 @@
      */
     public fun candidates(service: String, requestedModel: ModelRef?): List<Candidate> {
         val nowMillis = clock.monotonicMillis()
-        val allowance = coldAllowance(configuration?.services?.get(service)?.coldRequestsPerSecond)
+        val isColdLimited = configuration?.services?.get(service)?.coldRequestsPerSecond != null
         return directory.backends
-            .filter {
-                it.service == service && !it.isDraining && it.failureDomain !in drainingDomains
-            }
+            .filter { it.service == service && acceptsRequests(it) }
             .map {
-                Candidate(withKnownModels(it, requestedModel, nowMillis), loadOf(it), allowance)
+                Candidate(withKnownModels(it, requestedModel, nowMillis), loadOf(it), isColdLimited)
             }
     }
 
@@ -177,13 +181,6 @@
         return backend.copy(models = models)
     }
 
-    /** Returns how many requests this instance may send to a cold server within one second. */
-    private fun coldAllowance(requestsPerSecond: Double?): Int {
-        if (requestsPerSecond == null) return Int.MAX_VALUE
-        val bound = requestsPerSecond * settings.coldRateFactor + settings.coldExtraRequests
-        return (bound * COLD_ALLOWANCE_FACTOR / instanceCount).toInt().coerceAtLeast(1)
-    }
-
     /** Returns the retry budget of [service]. */
     public fun retryBudgetOf(service: String): RetryBudget =
         retryBudgets.getOrPut(service) { RetryBudget(settings.retryLimits) }
@@ -227,8 +224,5 @@
 
         /** The rest of the slack is for requests that need more tokens than a full bucket. */
         const val EXTRA_QUOTA_FRACTION = 0.6
-
-        /** Below 1, as requests sent in different seconds may arrive within the same one. */
-        const val COLD_ALLOWANCE_FACTOR = 0.8
     }
 }
