Give an instance no share of the retry allowance before it knows the number of instances

A process that had not heard from a leader divided the allowance by 16; 61 instances that start at the same time could make 61 x 162 / 16 x 0.8 = 494 retries where 162 are allowed. Without the number an instance now retries only a fifth of its own requests. Open: a leader without a record of its predecessor reports only the instances that have reported to it.

--- a/core/src/main/kotlin/mustarddale/serving/retry/RetryBudget.kt
+++ b/core/src/main/kotlin/mustarddale/serving/retry/RetryBudget.kt
@@ -29,16 +29,19 @@
         dropExpired(nowMillis)
     }
 
-    /** Whether one of [instances] instances has a retry left in its budget. */
-    public fun mayRetry(instances: Int, nowMillis: Long): Boolean {
+    /**
+     * Whether one of [instances] instances has a retry left in its budget; null for an unknown
+     * number, with which an instance has no share of the allowance.
+     */
+    public fun mayRetry(instances: Int?, nowMillis: Long): Boolean {
         dropExpired(nowMillis)
-        val allowanceShare = limits.allowance / instances.coerceAtLeast(1)
+        val allowanceShare = instances?.let { limits.allowance / it.coerceAtLeast(1) } ?: 0.0
         val allowed = (limits.ratio * requests.size + allowanceShare) * SAFETY_FACTOR
         return retries.size + 1 <= allowed
     }
 
-    /** Uses up a retry of one of [instances] instances; returns false if none is left. */
-    public fun tryAcquire(instances: Int, nowMillis: Long): Boolean {
+    /** Uses up a retry, see [mayRetry]; returns false if none is left. */
+    public fun tryAcquire(instances: Int?, nowMillis: Long): Boolean {
         if (!mayRetry(instances, nowMillis)) return false
         retries.addLast(nowMillis)
         return true
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -188,7 +188,7 @@
         Metrics.addRegistry(metrics)
         Metrics.gauge("mustarddale.requests.open", callerService) { it.openRequests.toDouble() }
         Metrics.gauge("mustarddale.backends", state) { it.directory.backends.size.toDouble() }
-        Metrics.gauge("mustarddale.instances", state) { it.instanceCount.toDouble() }
+        Metrics.gauge("mustarddale.instances", state) { (it.instanceCount ?: 0).toDouble() }
         server.start().join()
         scope.launch { feeds.operators.run() }
         scope.launch { feeds.backends.run() }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -61,8 +61,8 @@
             field = value
         }
 
-    /** The number of instances that share the limits of accounts and of cold servers. */
-    public var instanceCount: Int = INITIAL_INSTANCE_COUNT
+    /** The number of instances that share the retry budgets, null until a leader reports it. */
+    public var instanceCount: Int? = null
 
     /** Called when a request needs a model that no usable server holds. */
     public var onUrgentDemand: () -> Unit = {}
@@ -219,9 +219,6 @@
     }
 
     private companion object {
-        /** Used until the leader reports the number; above the usual 8 to 12 instances. */
-        const val INITIAL_INSTANCE_COUNT = 16
-
         /** The rest of the slack is for requests that need more tokens than a full bucket. */
         const val EXTRA_QUOTA_FRACTION = 0.6
     }
