Plan placements in time proportional to pairs of an engine and a model

Cause: one round of the leader's planning looked at every model for every pair of an engine and a model, and summed the demand of all instances and models each time. The leader plans 20 times a second and for each urgent report, on an instance with 0.36 of a core. After a restart of all machines many requests wait for models, so planning took all of its processor time, members found it silent and its successor was in the same state.

Change: a planning round takes the copies, reservations and free memory of the engines once and keeps them up to date; the demand keeps its totals; the largest model and adapter are computed once for a configuration.

--- a/bench/src/main/kotlin/mustarddale/bench/Main.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/Main.kt
@@ -13,10 +13,12 @@
 
         "takeover" -> TakeoverReport().run()
 
+        "placement" -> PlacementReport().run()
+
         "policy" -> LoadBalancingReport().run()
 
         else -> {
-            System.err.println("usage: bench control|path|takeover|policy")
+            System.err.println("usage: bench control|path|takeover|placement|policy")
             exitProcess(2)
         }
     }
--- a/core/src/main/kotlin/mustarddale/serving/config/ServingConfiguration.kt
+++ b/core/src/main/kotlin/mustarddale/serving/config/ServingConfiguration.kt
@@ -109,7 +109,14 @@
     public val adapterSlots: Int,
     public val loadsPerSecond: Double,
     public val models: ImmutableMap<String, ModelSpec>
-)
+) {
+    /** The size of the largest model, 0 if there are no models. */
+    public val maxModelMegabytes: Double = models.values.maxOfOrNull { it.sizeMegabytes } ?: 0.0
+
+    /** The size of the largest adapter, 0 if there are no models. */
+    public val maxAdapterMegabytes: Double =
+        models.values.maxOfOrNull { it.adapterMegabytes } ?: 0.0
+}
 
 /**
  * A model and its requirements.
--- a/core/src/main/kotlin/mustarddale/serving/residency/AdapterPlanner.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/AdapterPlanner.kt
@@ -68,7 +68,7 @@
     private fun EngineInventory.loadedAdapters(): List<ModelRef> =
         models.flatMap { model -> adaptersOf(model).map { ModelRef(model, it) } }
 
-    private fun EngineInventory.hasModelOf(wanted: ModelRef): Boolean = wanted.model in models
+    private fun EngineInventory.hasModelOf(wanted: ModelRef): Boolean = holdsModel(wanted.model)
 
     private fun EngineInventory.hasRoomFor(wanted: ModelRef): Boolean =
         adapterCount < spec.adapterSlots && loadingAdapterCount < MAX_LOADING &&
--- a/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/EngineInventory.kt
@@ -51,6 +51,10 @@
         get() = adapters.keys -
             setOfNotNull(modelChange?.takeIf { it.kind == OrderKind.UNLOAD }?.model)
 
+    /** Whether [model] is loaded and not being unloaded. */
+    public fun holdsModel(model: String): Boolean = model in adapters &&
+        modelChange?.takeIf { it.kind == OrderKind.UNLOAD }?.model != model
+
     /** The model that is being loaded, null if none is. */
     public val loadingModel: String?
         get() = modelChange?.takeIf { it.kind == OrderKind.LOAD }?.model
@@ -85,7 +89,7 @@
         val isLoadingUnknown = isReportedBusy && modelChange == null
         val loadingMegabytes = when {
             loading != null -> spec.megabytesOf(loading.model)
-            isLoadingUnknown -> spec.models.values.maxOfOrNull { it.sizeMegabytes } ?: 0.0
+            isLoadingUnknown -> spec.maxModelMegabytes
             else -> 0.0
         }
         val loadedMegabytes = adapters.entries.sumOf { (model, names) ->
@@ -262,7 +266,7 @@
 }
 
 internal fun EngineSpec.megabytesOf(model: String): Double =
-    models[model]?.sizeMegabytes ?: models.values.maxOfOrNull { it.sizeMegabytes } ?: 0.0
+    models[model]?.sizeMegabytes ?: maxModelMegabytes
 
 internal fun EngineSpec.adapterMegabytesOf(model: String): Double =
-    models[model]?.adapterMegabytes ?: models.values.maxOfOrNull { it.adapterMegabytes } ?: 0.0
+    models[model]?.adapterMegabytes ?: maxAdapterMegabytes
--- a/core/src/main/kotlin/mustarddale/serving/residency/ModelDemand.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/ModelDemand.kt
@@ -26,31 +26,42 @@
     private val models = HashMap<String, DemandCounters>()
     private val adapters = HashMap<ModelRef, DemandCounters>()
     private val waitingByInstance = HashMap<String, Map<ModelRef, Int>>()
+    private val waitingByModel = HashMap<String, Int>()
+    private var totalTokens = 0.0
     private var decayedAtMillis = 0L
 
     /** Adds the [samples] of [instance]; its waiting requests replace those reported before. */
     public fun report(instance: String, samples: List<DemandSample>, nowMillis: Long) {
         decay(nowMillis)
         samples.forEach { sample ->
+            totalTokens += sample.tokens
             count(models.getOrPut(sample.target.model) { DemandCounters() }, sample, nowMillis)
             if (sample.target.adapter != null) {
                 count(adapters.getOrPut(sample.target) { DemandCounters() }, sample, nowMillis)
             }
         }
-        waitingByInstance[instance] =
+        setWaiting(
+            instance,
             samples.filter { it.waiting > 0 }.associate { it.target to it.waiting }
+        )
     }
 
     /** Removes the waiting requests that [instance] has reported. */
     public fun removeWaiting(instance: String) {
-        waitingByInstance.remove(instance)
+        setWaiting(instance, emptyMap())
     }
 
-    /** Returns the number of requests that wait for [model], with or without an adapter. */
-    public fun waitingFor(model: String): Int = waitingByInstance.values.sumOf { waiting ->
-        waiting.entries.sumOf { if (it.key.model == model) it.value else 0 }
+    private fun setWaiting(instance: String, waiting: Map<ModelRef, Int>) {
+        val before = waitingByInstance.put(instance, waiting).orEmpty()
+        before.forEach { (wanted, count) -> waitingByModel.merge(wanted.model, -count, Int::plus) }
+        waiting.forEach { (wanted, count) -> waitingByModel.merge(wanted.model, count, Int::plus) }
+        waitingByModel.values.removeIf { it == 0 }
+        if (waiting.isEmpty()) waitingByInstance.remove(instance)
     }
 
+    /** Returns the number of requests that wait for [model], with or without an adapter. */
+    public fun waitingFor(model: String): Int = waitingByModel[model] ?: 0
+
     /** Returns the adapters that requests wait for, each with the number of requests. */
     public fun waitingAdapters(): Map<ModelRef, Int> = waitingByInstance.values
         .flatMap { it.entries }
@@ -59,10 +70,8 @@
         .mapValues { it.value.sum() }
 
     /** Returns the share of [model] in all recent tokens, from 0 to 1. */
-    public fun share(model: String): Double {
-        val total = models.values.sumOf { it.tokens }
-        return if (total <= 0) 0.0 else (models[model]?.tokens ?: 0.0) / total
-    }
+    public fun share(model: String): Double =
+        if (totalTokens <= 0) 0.0 else (models[model]?.tokens ?: 0.0) / totalTokens
 
     /** Returns the approximate number of requests per second for [model]. */
     public fun rate(model: String): Double = requestsPerSecond(models[model])
@@ -98,6 +107,7 @@
             it.requests *= requestFactor
             it.tokens *= tokenFactor
         }
+        totalTokens *= tokenFactor
     }
 
     private class DemandCounters {
--- a/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/ResidencyPlanner.kt
@@ -38,27 +38,47 @@
     /** The need for a copy of [model], which is worth [value] requests per second. */
     private data class CopyRequest(val model: String, val value: Double, val mayEvict: Boolean)
 
+    /** One planning round, in which the contents of [inventories] do not change. */
     private inner class Plan(
-        val engines: List<EngineInventory>,
+        inventories: List<EngineInventory>,
         val demand: ModelDemand,
         var mayLoadFromStore: Boolean,
         val nowMillis: Long
     ) {
         val orders = LinkedHashMap<String, EngineOrder>()
-        private val storeLoadCount = engines.count { engine ->
+        private val engines = inventories.map { PlannedEngine(it) }
+        private val copies = HashMap<String, Int>()
+        private val reserved = HashMap<String, Int>()
+        private val storeLoadCount = inventories.count { engine ->
             engine.loadingModel?.let { loadMillis(engine, it) == storeMillis(it) } ?: false
         }
 
+        init {
+            engines.forEach { engine ->
+                engine.models.forEach { copies.merge(it, 1, Int::plus) }
+                engine.inventory.loadingModel?.takeIf { it !in engine.models }
+                    ?.let { copies.merge(it, 1, Int::plus) }
+                engine.inventory.reservedFor?.let { reserved.merge(it, 1, Int::plus) }
+            }
+        }
+
         fun loadReserved() {
-            engines.filter { it.reservedFor != null && it.isOrderable() }.forEach { engine ->
-                val model = checkNotNull(engine.reservedFor)
-                if (!engine.fits(model)) {
-                    engine.reservedFor = null
-                } else if (mayLoad(engine, model)) {
-                    tryLoad(engine, model)
-                    engine.reservedFor = null
+            engines.filter { it.inventory.reservedFor != null && isOrderable(it) }
+                .forEach { engine ->
+                    val model = checkNotNull(engine.inventory.reservedFor)
+                    if (!engine.fits(model)) {
+                        reserve(engine, null)
+                    } else if (mayLoad(engine, model)) {
+                        tryLoad(engine, model)
+                        reserve(engine, null)
+                    }
                 }
-            }
+        }
+
+        private fun reserve(engine: PlannedEngine, model: String?) {
+            engine.inventory.reservedFor?.let { reserved.merge(it, -1, Int::plus) }
+            engine.inventory.reservedFor = model
+            model?.let { reserved.merge(it, 1, Int::plus) }
         }
 
         fun copyRequests(): List<CopyRequest> = spec.models.keys.mapNotNull { copyRequest(it) }
@@ -66,7 +86,7 @@
 
         private fun copyRequest(model: String): CopyRequest? {
             val copies = copies(model)
-            val reserved = engines.count { it.reservedFor == model }
+            val reserved = reserved[model] ?: 0
             val waiting = demand.waitingFor(model)
             return when {
                 copies + reserved == 0 && waiting > 0 ->
@@ -88,7 +108,7 @@
 
         fun place(request: CopyRequest) {
             val candidates = engines.filter {
-                it.isOrderable() && it.reservedFor == null && request.model !in it.models
+                isOrderable(it) && it.inventory.reservedFor == null && request.model !in it.models
             }
             val fitting =
                 candidates.filter { it.fits(request.model) && mayLoad(it, request.model) }
@@ -100,19 +120,23 @@
             }
         }
 
-        private fun evictFor(request: CopyRequest, candidates: List<EngineInventory>) {
-            val changingCount = engines.count { it.isChangingModels || it.reservedFor != null }
+        private fun evictFor(request: CopyRequest, candidates: List<PlannedEngine>) {
+            val changingCount = engines.count {
+                it.inventory.isChangingModels || it.inventory.reservedFor != null
+            }
             if (changingCount + orders.size >= maxChangingEngines(request)) return
             val best = candidates
                 .flatMap { engine -> engine.models.map { engine to it } }
                 .filter { (engine, victim) -> engine.fitsWithout(victim, request.model) }
-                .filter { (engine, victim) -> !engine.isRecentlyLoaded(victim, nowMillis) }
+                .filter { (engine, victim) ->
+                    !engine.inventory.isRecentlyLoaded(victim, nowMillis)
+                }
                 .minByOrNull { (engine, victim) ->
                     evictionCost(victim) + loadCost(engine, request.model) / MILLIS_PER_VALUE
                 } ?: return
             val (engine, victim) = best
             if (evictionCost(victim) * HYSTERESIS >= request.value) return
-            engine.reservedFor = request.model
+            reserve(engine, request.model)
             order(engine, OrderKind.UNLOAD, victim)
         }
 
@@ -121,26 +145,27 @@
             else -> maxOf(1, engines.size / MAX_CHANGING_DIVISOR)
         }
 
-        private fun tryLoad(engine: EngineInventory, model: String) {
+        private fun tryLoad(engine: PlannedEngine, model: String) {
             if (!mayLoad(engine, model)) return
-            if (loadMillis(engine, model) == storeMillis(model)) mayLoadFromStore = false
+            if (loadMillis(engine.inventory, model) == storeMillis(model)) mayLoadFromStore = false
             order(engine, OrderKind.LOAD, model)
+            if (model !in engine.models) copies.merge(model, 1, Int::plus)
         }
 
-        private fun order(engine: EngineInventory, kind: OrderKind, model: String) {
-            val count = engine.expectedOrderCount()
-            orders[engine.engine.id] =
-                EngineOrder(engine.engine.id, kind, ModelRef(model), count)
+        private fun order(engine: PlannedEngine, kind: OrderKind, model: String) {
+            val count = engine.inventory.expectedOrderCount()
+            orders[engine.id] = EngineOrder(engine.id, kind, ModelRef(model), count)
         }
 
-        private fun mayLoad(engine: EngineInventory, model: String): Boolean {
-            if (loadMillis(engine, model) < storeMillis(model)) return true
+        private fun mayLoad(engine: PlannedEngine, model: String): Boolean {
+            if (loadMillis(engine.inventory, model) < storeMillis(model)) return true
             val maxLoads = (spec.loadsPerSecond * storeMillis(model) / MILLIS_PER_SECOND).toInt()
             return mayLoadFromStore && storeLoadCount < maxLoads.coerceAtLeast(1)
         }
 
-        private fun loadCost(engine: EngineInventory, model: String): Double =
-            loadMillis(engine, model) + engine.requestCount * MILLIS_PER_REQUEST +
+        private fun loadCost(engine: PlannedEngine, model: String): Double =
+            loadMillis(engine.inventory, model) +
+                engine.inventory.requestCount * MILLIS_PER_REQUEST +
                 engine.models.sumOf { demand.share(it) } * MILLIS_PER_DEMAND_SHARE
 
         private fun evictionCost(victim: String): Double {
@@ -169,31 +194,29 @@
             return maxOf(copiesByShare, minCopies).coerceAtMost(engines.size)
         }
 
-        private fun copies(model: String): Int = engines.count {
-            model in it.models || it.loadingModel == model ||
-                orders[it.engine.id]?.let { order ->
-                    order.kind == OrderKind.LOAD && order.target.model == model
-                } ?: false
-        }
+        /** Returns the number of engines that hold, load or are ordered to load [model]. */
+        private fun copies(model: String): Int = copies[model] ?: 0
 
-        private fun EngineInventory.isOrderable(): Boolean = mayOrderModel && engine.id !in orders
+        private fun isOrderable(engine: PlannedEngine): Boolean =
+            engine.inventory.mayOrderModel && engine.id !in orders
     }
 
-    private fun EngineInventory.fits(model: String): Boolean =
-        usedMegabytes(spec) + spec.megabytesOf(model) + adapterReserveMegabytes() <=
-            spec.memoryMegabytes
+    /** An engine's contents at the start of a planning round. */
+    private inner class PlannedEngine(val inventory: EngineInventory) {
+        val id: String = inventory.engine.id
+        val models: Set<String> = inventory.models
 
-    private fun EngineInventory.fitsWithout(victim: String, model: String): Boolean {
-        val freedMegabytes =
-            spec.megabytesOf(victim) + adaptersOf(victim).size * spec.adapterMegabytesOf(victim)
-        return usedMegabytes(spec) - freedMegabytes + spec.megabytesOf(model) +
-            adapterReserveMegabytes() <= spec.memoryMegabytes
-    }
+        /** The memory for models, without what is kept free for adapters in the unused slots. */
+        private val freeMegabytes: Double = spec.memoryMegabytes - inventory.usedMegabytes(spec) -
+            (spec.adapterSlots - inventory.adapterCount).coerceAtLeast(0) * spec.maxAdapterMegabytes
+
+        fun fits(model: String): Boolean = spec.megabytesOf(model) <= freeMegabytes
 
-    /** Returns the memory to keep free for adapters in the unused slots. */
-    private fun EngineInventory.adapterReserveMegabytes(): Double {
-        val largest = spec.models.values.maxOfOrNull { it.adapterMegabytes } ?: 0.0
-        return (spec.adapterSlots - adapterCount).coerceAtLeast(0) * largest
+        fun fitsWithout(victim: String, model: String): Boolean {
+            val freedMegabytes = spec.megabytesOf(victim) +
+                inventory.adaptersOf(victim).size * spec.adapterMegabytesOf(victim)
+            return spec.megabytesOf(model) <= freeMegabytes + freedMegabytes
+        }
     }
 
     private fun loadMillis(engine: EngineInventory, model: String): Long =
