Do not let a request wait for a model until a time that has passed

Found from reading awaitModel after the stalls of the small twins: for a load up to half a second late, a request past its latest waiting time was told to wait until that time. It then checked all servers again each millisecond, and each check sent a report to the leader, which planned anew. The policy's table has the case, which failed before; the request is now told to retry.

--- a/core/src/main/kotlin/mustarddale/serving/residency/AbsentModelPolicy.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/AbsentModelPolicy.kt
@@ -58,7 +58,9 @@
             if (nowMillis < untilMillis) return AbsentModelDecision.Wait(untilMillis)
             return AbsentModelDecision.RetryLater(DEFAULT_RETRY_MILLIS)
         }
-        if (expectedAtMillis <= latestWaitMillis) return AbsentModelDecision.Wait(latestWaitMillis)
+        if (expectedAtMillis <= latestWaitMillis && nowMillis < latestWaitMillis) {
+            return AbsentModelDecision.Wait(latestWaitMillis)
+        }
         val remainingMillis = expectedAtMillis - nowMillis
         return AbsentModelDecision.RetryLater(remainingMillis.coerceAtLeast(MIN_RETRY_MILLIS))
     }
--- a/core/src/test/kotlin/mustarddale/serving/residency/AbsentModelPolicyTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/residency/AbsentModelPolicyTest.kt
@@ -38,7 +38,8 @@
             11_500,
             RetryLater(1_000)
         ),
-        Case("no wait for a load that ends too late", chat, 11_550, 11_450, RetryLater(200))
+        Case("no wait for a load that ends too late", chat, 11_550, 11_450, RetryLater(200)),
+        Case("no wait that has already ended", chat, 11_400, 11_500, RetryLater(200))
     )
 
     @Test
