Bound how often instances report, the leader plans, and the leader sends its state

Cause, from reading: a report was sent at once whenever a request checked for its model, without a minimum interval; each such report made the leader plan at once and send its whole state back; each change of an engine's contents and each loan sent the state to a member again. With 61 members the leader's work grew with the number of waiting requests.

Change: urgent reports have a minimum interval of 50 ms, planning rounds of 15 ms, and states to one member of 40 ms (MemberSession, taken out of LeaderConnections); a loan is answered without a state.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -127,6 +127,7 @@
         leaderController,
         loans,
         feeds.backends,
+        clock,
         dispatcher
     )
     private val forwarder = Forwarder(
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
@@ -32,8 +32,9 @@
 import mustarddale.instance.peer.FrameCodec
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.feed.KeyedFeed
-import mustarddale.instance.serving.feed.RelayedRecords
 import mustarddale.serving.leadership.LeaderRecord
+import mustarddale.time.Clock
+import mustarddale.time.MinInterval
 
 /**
  * Connects this instance to its leader, and serves the other instances while it is the leader.
@@ -48,6 +49,7 @@
     private val controller: LeaderController,
     private val loans: LeaderLoans,
     private val backends: KeyedFeed,
+    private val clock: Clock,
     eventLoop: CoroutineDispatcher
 ) : AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
@@ -55,9 +57,12 @@
     private val codec = FrameCodec(LeaderMessage.serializer())
     private val reportSignal = Channel<Unit>(Channel.CONFLATED)
     private val loanRequests = ArrayDeque<LeaderMessage.LoanRequest>()
+    private val reportInterval = MinInterval(REPORT_INTERVAL_MILLIS)
+    private val urgentReportInterval = MinInterval(URGENT_REPORT_INTERVAL_MILLIS)
+    private var isUrgentReportDue = false
     private var isConnected = false
     private var ownTerm: Long? = null
-    private val memberSignals = LinkedHashSet<Channel<Unit>>()
+    private val memberSessions = LinkedHashSet<MemberSession>()
 
     /** Listens for instances and connects to the leader. */
     public fun start() {
@@ -68,12 +73,13 @@
 
     /** Sends a report at once, because requests wait for a decision of the leader. */
     public fun reportNow() {
+        isUrgentReportDue = true
         reportSignal.trySend(Unit)
     }
 
     /** Sends all connected instances the changes that they have not yet received. */
     public fun notifyMembers() {
-        memberSignals.forEach { it.trySend(Unit) }
+        memberSessions.forEach { it.requestState() }
     }
 
     override fun close() {
@@ -124,6 +130,7 @@
     }
 
     private suspend fun reportToOwnController() {
+        if (!awaitReportDue()) return
         val report = member.nextReport()
         val isLeading = controller.handleReport(report)
         controller.stateFor(self.instance, report.number, seenVersion = 0)?.let {
@@ -134,7 +141,6 @@
             member.handleLeadershipEnded(ownTerm)
             suspectLeader()
         }
-        withTimeoutOrNull(if (isLeading) REPORT_INTERVAL_MILLIS else 1) { reportSignal.receive() }
     }
 
     private suspend fun connect(leader: LeaderRecord) {
@@ -190,68 +196,39 @@
     }
 
     private suspend fun writeReports(output: ByteWriteChannel) {
+        isUrgentReportDue = true
         while (true) {
             while (loanRequests.isNotEmpty()) codec.write(output, loanRequests.removeFirst())
-            codec.write(output, member.nextReport())
-            withTimeoutOrNull(REPORT_INTERVAL_MILLIS) { reportSignal.receive() }
+            if (awaitReportDue()) codec.write(output, member.nextReport())
         }
     }
 
+    /** Waits until a report is due or something else is to be sent; true for a report. */
+    private suspend fun awaitReportDue(): Boolean {
+        val interval = if (isUrgentReportDue) urgentReportInterval else reportInterval
+        val nowMillis = clock.monotonicMillis()
+        val waitMillis = interval.waitMillis(nowMillis)
+        if (waitMillis > 0) {
+            withTimeoutOrNull(waitMillis) { reportSignal.receive() }
+            return false
+        }
+        isUrgentReportDue = false
+        urgentReportInterval.recordRun(nowMillis)
+        reportInterval.recordRun(nowMillis)
+        return true
+    }
+
     private suspend fun serveMember(socket: Socket): Unit = coroutineScope {
         val output = socket.openWriteChannel(autoFlush = false)
         val input = socket.openReadChannel()
-        val signal = Channel<Unit>(Channel.CONFLATED)
-        var lastReport: LeaderMessage.Report? = null
-        val answers = ArrayDeque<LeaderMessage>()
-        memberSignals.add(signal)
+        val session = MemberSession(controller, backends, clock)
+        memberSessions.add(session)
         try {
-            launch {
-                val stateSender = StateSender(output)
-                while (true) {
-                    signal.receive()
-                    while (answers.isNotEmpty()) codec.write(output, answers.removeFirst())
-                    lastReport?.let { stateSender.sendState(it) }
-                }
-            }
-            while (true) {
-                when (val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }) {
-                    is LeaderMessage.Report -> {
-                        controller.handleReport(message)
-                        lastReport = message
-                    }
-
-                    is LeaderMessage.LoanRequest ->
-                        answers.addLast(controller.lend(message) ?: LeaderMessage.NotLeading)
-
-                    else -> throw IOException("unexpected message from an instance: $message")
-                }
-                signal.trySend(Unit)
-            }
+            launch { session.sendMessages { codec.write(output, it) } }
+            while (true) session.handle(withTimeout(SILENCE_MILLIS) { codec.read(input) })
         } finally {
-            memberSignals.remove(signal)
-        }
-    }
-
-    /** Sends one instance the leader's state, with only the changes since the last message. */
-    private inner class StateSender(private val output: ByteWriteChannel) {
-        private var sentVersion = 0L
-        private var sentEndOffset: Long? = null
-
-        suspend fun sendState(report: LeaderMessage.Report) {
-            val state = controller.stateFor(report.instance, report.number, sentVersion)
-            if (state == null) {
-                codec.write(output, LeaderMessage.NotLeading)
-                return
-            }
-            sentVersion = controller.contentsVersion
-            val fromOffset = listOfNotNull(sentEndOffset, report.backendOffset).maxOrNull()
-            val newRecords = fromOffset?.let { backends.recordsSince(it) }
-            if (newRecords != null) sentEndOffset = newRecords.fromOffset + newRecords.records.size
-            codec.write(output, state.copy(backends = newRecords?.toMessage()))
+            memberSessions.remove(session)
         }
-
-        private fun RelayedRecords.toMessage() =
-            BackendNews(fromOffset, records.map { RecordBytes(it) }, ageMillis)
     }
 
     @Suppress("TooGenericExceptionCaught")
@@ -278,6 +255,9 @@
         /** Frequent enough for shares to follow bursts, which last 3 s or more. */
         const val REPORT_INTERVAL_MILLIS = 250L
 
+        /** The interval of reports while requests wait for a decision of the leader. */
+        const val URGENT_REPORT_INTERVAL_MILLIS = 50L
+
         /** Four report intervals; an instance that was paused for longer has to reconnect. */
         const val SILENCE_MILLIS = 1_000L
 
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
@@ -0,0 +1,92 @@
+/*
+ * The leader's side of the connection to one instance: passes the instance's messages to the
+ * leader's controller, and sends the answers and the leader's state. However often the instance
+ * reports and the state changes, states have a minimum interval, because the leader has hundreds of
+ * members and no more processor time than they have. Confined to the event loop.
+ */
+package mustarddale.instance.serving.leader
+
+import java.io.IOException
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+import mustarddale.instance.serving.feed.KeyedFeed
+import mustarddale.instance.serving.feed.RelayedRecords
+import mustarddale.time.Clock
+import mustarddale.time.MinInterval
+
+/** Serves one instance with the state of [controller] and the records of [backends]. */
+internal class MemberSession(
+    private val controller: LeaderController,
+    private val backends: KeyedFeed,
+    private val clock: Clock
+) {
+    private val signal = Channel<Unit>(Channel.CONFLATED)
+    private val answers = ArrayDeque<LeaderMessage>()
+    private val stateInterval = MinInterval(STATE_INTERVAL_MILLIS)
+    private var lastReport: LeaderMessage.Report? = null
+    private var isStateDue = false
+    private var sentVersion = 0L
+    private var sentEndOffset: Long? = null
+
+    /** Sends the instance what has changed since the last state. */
+    fun requestState() {
+        isStateDue = true
+        signal.trySend(Unit)
+    }
+
+    /** Processes a [message] of the instance; throws [IOException] if it is not one for a leader. */
+    fun handle(message: LeaderMessage) {
+        when (message) {
+            is LeaderMessage.Report -> {
+                controller.handleReport(message)
+                lastReport = message
+                requestState()
+            }
+
+            is LeaderMessage.LoanRequest -> {
+                answers.addLast(controller.lend(message) ?: LeaderMessage.NotLeading)
+                signal.trySend(Unit)
+            }
+
+            else -> throw IOException("unexpected message from an instance: $message")
+        }
+    }
+
+    /** Passes all messages for the instance to [send] until cancelled. */
+    suspend fun sendMessages(send: suspend (LeaderMessage) -> Unit) {
+        while (true) {
+            while (answers.isNotEmpty()) send(answers.removeFirst())
+            val report = lastReport.takeIf { isStateDue }
+            val waitMillis = stateInterval.waitMillis(clock.monotonicMillis())
+            when {
+                report == null -> signal.receive()
+
+                waitMillis > 0 -> withTimeoutOrNull(waitMillis) { signal.receive() }
+
+                else -> {
+                    isStateDue = false
+                    stateInterval.recordRun(clock.monotonicMillis())
+                    send(stateFor(report))
+                }
+            }
+        }
+    }
+
+    private fun stateFor(report: LeaderMessage.Report): LeaderMessage {
+        val state = controller.stateFor(report.instance, report.number, sentVersion)
+            ?: return LeaderMessage.NotLeading
+        sentVersion = controller.contentsVersion
+        val fromOffset = listOfNotNull(sentEndOffset, report.backendOffset).maxOrNull()
+        val newRecords = fromOffset?.let { backends.recordsSince(it) }
+        if (newRecords != null) sentEndOffset = newRecords.fromOffset + newRecords.records.size
+        return state.copy(backends = newRecords?.toMessage())
+    }
+
+    private fun RelayedRecords.toMessage() =
+        BackendNews(fromOffset, records.map { RecordBytes(it) }, ageMillis)
+
+    private companion object {
+        /** Below the time of an adapter load and its order, which are what waits for a state. */
+        const val STATE_INTERVAL_MILLIS = 40L
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
@@ -18,6 +18,7 @@
 import mustarddale.serving.residency.OrderAnswer
 import mustarddale.serving.residency.OrderKind
 import mustarddale.time.Clock
+import mustarddale.time.MinInterval
 
 /**
  * Places models and adapters on engines during one term as leader.
@@ -45,6 +46,8 @@
             LastOrder.waitMillis(leadership.lastForeignOrder, instance, orderLeaseMillis)
     private var lastOrderAtMillis: Long? = null
     private val placements = HashMap<String, ServicePlacement>()
+    private val planInterval = MinInterval(PLAN_INTERVAL_MILLIS)
+    private var isPlanScheduled = false
 
     /** Returns the newest order of this leader or an earlier one, null if there was none. */
     fun lastOrder(): LastOrder? {
@@ -61,7 +64,7 @@
             placementOf(demand.service)?.demand?.report(report.instance, samples, nowMillis)
             isUrgent = isUrgent || samples.any { it.waiting > 0 }
         }
-        if (isUrgent) planOrders(nowMillis)
+        if (isUrgent) planSoon(nowMillis)
     }
 
     /** Fetches the engine reports that are due, and sends the next orders. */
@@ -108,7 +111,23 @@
         publish(placement, inventory)
     }
 
+    /** Plans now, or as soon as the minimum interval has passed since the last round. */
+    private fun planSoon(nowMillis: Long) {
+        val waitMillis = planInterval.waitMillis(nowMillis)
+        if (waitMillis <= 0) {
+            planOrders(nowMillis)
+        } else if (!isPlanScheduled) {
+            isPlanScheduled = true
+            scope.launch {
+                delay(waitMillis)
+                isPlanScheduled = false
+                planOrders(clock.monotonicMillis())
+            }
+        }
+    }
+
     private fun planOrders(nowMillis: Long) {
+        planInterval.recordRun(nowMillis)
         placements.values.forEach { placement ->
             placement.inventories.values.filter { it.finishAdapterLoads(nowMillis) }
                 .forEach { publish(placement, it) }
@@ -174,7 +193,7 @@
         scope.launch {
             delay((readyAtMillis - nowMillis).coerceAtLeast(1))
             if (inventory.finishAdapterLoads(clock.monotonicMillis())) publish(placement, inventory)
-            planOrders(clock.monotonicMillis())
+            planSoon(clock.monotonicMillis())
         }
     }
 
@@ -186,4 +205,9 @@
 
     private fun ModelSample.toSample() =
         DemandSample(ModelRef(model, adapter), requests, tokens, waiting)
+
+    private companion object {
+        /** About the time of an adapter load; a round takes a few milliseconds. */
+        const val PLAN_INTERVAL_MILLIS = 15L
+    }
 }
