Bound what is read of a back end's response that never ends

Heads, chunk headers and trailers were bounded by the HTTP codec. A body without a length was kept in memory until the route's timeout, an event without end too, and the body of a refusal was read for ever, after the request had gone to another server.

Change: a buffered response has at most 4 MiB, an incomplete event 256 KiB, and a refusal's body 64 KiB (BodyDrain); then the connection is closed and the response counts as incomplete.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
@@ -91,7 +91,7 @@
             ResponseKind.PROPER -> SendResult.Responded(headers, head, parts.body(), connection)
 
             ResponseKind.NOT_RUN, ResponseKind.NOT_HERE -> {
-                parts.body().subscribe()
+                parts.body().subscribe(BodyDrain(MAX_REFUSAL_BYTES))
                 SendResult.NotRun(head, head.kind == ResponseKind.NOT_HERE)
             }
 
@@ -117,6 +117,9 @@
         /** Bodies are small, so a server that reads nothing for this long is stuck. */
         const val WRITE_TIMEOUT_MILLIS = 2_000L
 
+        /** Far above the length of a refusal, which is a line of text. */
+        const val MAX_REFUSAL_BYTES = 64 * 1_024
+
         fun endpointOf(address: BackendAddress) =
             com.linecorp.armeria.client.Endpoint.of(address.host, address.port)
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/EventSplitter.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/EventSplitter.kt
@@ -15,6 +15,9 @@
     /** Whether the bytes so far end within an event. */
     public val hasPartialEvent: Boolean get() = partialEvent.isNotEmpty()
 
+    /** The length of the incomplete event at the end. */
+    public val partialEventBytes: Int get() = partialEvent.size
+
     /** Appends [bytes] and returns all events that are complete now. */
     public fun append(bytes: ByteArray): ByteArray {
         val all = partialEvent + bytes
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
@@ -6,6 +6,7 @@
 package mustarddale.instance.serving.forward
 
 import com.linecorp.armeria.common.HttpData
+import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.reactive.collect
 import mustarddale.instance.serving.protocol.ServingProtocol
@@ -37,7 +38,13 @@
 
     private suspend fun relayBuffered(response: SendResult.Responded): String? {
         val chunks = ArrayList<HttpData>()
-        readBody(response) { chunks.add(it) }?.let { return it }
+        var bufferedBytes = 0
+        val failure = readBody(response) {
+            bufferedBytes += it.length()
+            if (bufferedBytes > MAX_BUFFERED_BYTES) throw IOException("the response is too large")
+            chunks.add(it)
+        }
+        if (failure != null) return failure
         writer.writeHead(protocol.callerHeaders(response.headers))
         chunks.forEach { writer.writeBody(it) }
         writer.complete()
@@ -48,6 +55,9 @@
         val isResumable = request.route.repeatability == Repeatability.RESUMABLE
         val failure = readBody(response) { data ->
             val bytes = if (isResumable) eventSplitter.append(data.array()) else data.array()
+            if (eventSplitter.partialEventBytes > MAX_EVENT_BYTES) {
+                throw IOException("an event is too large")
+            }
             if (bytes.isNotEmpty()) writer.writeBody(HttpData.wrap(bytes))
         }
         return failure
@@ -71,4 +81,12 @@
             response.connection?.wasTruncated == true
         }
     }
+
+    private companion object {
+        /** Above the largest response, and small enough for several at a time in the heap. */
+        const val MAX_BUFFERED_BYTES = 4 * 1_024 * 1_024
+
+        /** Far above the few hundred bytes of an event. */
+        const val MAX_EVENT_BYTES = 256 * 1_024
+    }
 }
