Treat the servers of a failure domain that returns as cold at first

When a failure domain is taken back, every instance finds its servers idle in the same moment and sends to them; their entries may say that they are cold only with their next renewal, up to 1.2 s later. For 2 s, a request to such a server now needs a permit of the leader, as for a cold one. ServingStateTest failed before.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -58,7 +58,9 @@
     public var drainingDomains: Set<String> = emptySet()
         set(value) {
             if (field != value) DecisionLog.record("domains_closed", "domains" to value)
+            val reopened = field - value
             field = value
+            assumeCold(reopened)
         }
 
     /** The number of instances that share the retry budgets, null until a leader reports it. */
@@ -115,6 +117,13 @@
         }
     }
 
+    /** Servers of a domain that returns may be cold before their entries say so. */
+    private fun assumeCold(domains: Set<String>) {
+        val nowMillis = clock.monotonicMillis()
+        directory.backends.filter { it.failureDomain in domains }
+            .forEach { loadOf(it).assumeCold(REOPENED_COLD_MILLIS, nowMillis) }
+    }
+
     private fun logBackendChange(event: String, backend: Backend) {
         DecisionLog.record(
             event,
@@ -219,6 +228,9 @@
     }
 
     private companion object {
+        /** Longer than the interval at which servers renew their entries. */
+        const val REOPENED_COLD_MILLIS = 2_000L
+
         /** The rest of the slack is for requests that need more tokens than a full bucket. */
         const val EXTRA_QUOTA_FRACTION = 0.6
     }
--- /dev/null
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
@@ -0,0 +1,82 @@
+package mustarddale.instance.serving
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import mustarddale.instance.serving.settings.ServingSettings
+import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.backend.Backend
+import mustarddale.serving.backend.BackendAddress
+import mustarddale.serving.config.CallerLimits
+import mustarddale.serving.config.ServiceConfig
+import mustarddale.serving.config.ServingConfiguration
+import mustarddale.serving.retry.RetryLimits
+import mustarddale.time.Clock
+
+class ServingStateTest {
+    private var nowMillis = 10_000L
+    private val clock = object : Clock {
+        override fun monotonicMillis() = nowMillis
+
+        override fun wallMillis() = nowMillis
+    }
+    private val settings = ServingSettings(
+        instance = "front-1",
+        host = "127.0.0.1",
+        failureDomain = "a",
+        callerPort = 1,
+        readyPort = 2,
+        peerPort = 3,
+        metricsPort = 4,
+        store = BackendAddress("127.0.0.1", 5),
+        retryLimits = RetryLimits(windowMillis = 10_000, ratio = 0.2, allowance = 50.0),
+        quotaSlackTokens = 7_000.0,
+        termGraceMillis = 8_000,
+        orderLeaseMillis = 3_000
+    )
+
+    private fun backend(id: String, domain: String) = Backend(
+        id = id,
+        service = "scribe",
+        address = BackendAddress("10.0.0.1", 80),
+        failureDomain = domain,
+        slots = 10,
+        isDraining = false,
+        drainRemainingMillis = null,
+        coldRemainingMillis = 0,
+        models = persistentMapOf(),
+        hostCachedModels = persistentSetOf(),
+        diskCachedModels = persistentSetOf(),
+        orderCount = 0,
+        startUnixMillis = 1
+    )
+
+    private fun configuration() = ServingConfiguration(
+        version = 1,
+        routes = persistentListOf(),
+        services = persistentMapOf("scribe" to ServiceConfig("scribe", "/health", 100, 12.0, null)),
+        accounts = persistentMapOf(),
+        limits = CallerLimits(16_384, 4_194_304, 3_000, 15_000)
+    )
+
+    @Test
+    fun `servers of a failure domain that returns are not flooded before they say they are cold`() {
+        val state = ServingState(settings, clock)
+        state.configure(configuration())
+        state.apply(listOf("a", "b").mapNotNull { state.directory.put(backend("i-$it", it)) })
+        state.drainingDomains = setOf("b")
+        nowMillis += 5_000
+        state.drainingDomains = emptySet()
+        listOf(
+            0L to setOf("i-b"),
+            1_999L to setOf("i-b"),
+            2_000L to emptySet()
+        ).forEach { (afterMillis, expected) ->
+            val atMillis = nowMillis + afterMillis
+            val cold = state.candidates("scribe", null).filter { it.load.isCold(atMillis) }
+            assertEquals(expected, cold.map { it.backend.id }.toSet(), "after $afterMillis ms")
+        }
+    }
+}
