Log when a starting process admits requests, and planning rounds that block the leader

The lines that would have told the hypotheses of the incident apart: requests_admitted with the time since the start, plan_slow for a round of 30 ms or more, and the timer mustarddale_leader_plan.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
@@ -4,6 +4,9 @@
  */
 package mustarddale.instance.serving.leader
 
+import io.micrometer.core.instrument.Metrics
+import io.micrometer.core.instrument.Timer
+import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -128,6 +131,21 @@
 
     private fun planOrders(nowMillis: Long) {
         planInterval.recordRun(nowMillis)
+        planRound(nowMillis)
+        val tookMillis = clock.monotonicMillis() - nowMillis
+        planTimer.record(tookMillis, TimeUnit.MILLISECONDS)
+        if (tookMillis >= SLOW_PLAN_MILLIS) {
+            DecisionLog.record(
+                "plan_slow",
+                "tookMillis" to tookMillis,
+                "engines" to placements.values.sumOf { it.inventories.size },
+                "models" to placements.values.sumOf { it.spec.models.size },
+                "term" to leadership.term
+            )
+        }
+    }
+
+    private fun planRound(nowMillis: Long) {
         placements.values.forEach { placement ->
             placement.inventories.values.filter { it.finishAdapterLoads(nowMillis) }
                 .forEach { publish(placement, it) }
@@ -209,5 +227,12 @@
     private companion object {
         /** About the time of an adapter load; a round takes a few milliseconds. */
         const val PLAN_INTERVAL_MILLIS = 15L
+
+        /** Rounds that take this long keep the event loop from answering the members in time. */
+        const val SLOW_PLAN_MILLIS = 30L
+
+        /** The duration of the leader's planning rounds. */
+        val planTimer: Timer = Timer.builder("mustarddale.leader.plan")
+            .register(Metrics.globalRegistry)
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/StartupGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/StartupGate.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
+import mustarddale.instance.serving.DecisionLog
 import mustarddale.time.Clock
 
 /**
@@ -9,12 +10,17 @@
  * shares, which takes up to a second; before that it could only refuse. Confined to one thread.
  */
 public class StartupGate(private val clock: Clock) {
-    private val opensAtLatestMillis = clock.monotonicMillis() + MAX_STARTUP_WAIT_MILLIS
+    private val startMillis = clock.monotonicMillis()
+    private val opensAtLatestMillis = startMillis + MAX_STARTUP_WAIT_MILLIS
     private val opened = CompletableDeferred<Unit>()
 
     /** Opens the gate, because requests can be admitted. */
     public fun open() {
-        opened.complete(Unit)
+        if (!opened.complete(Unit)) return
+        DecisionLog.record(
+            "requests_admitted",
+            "sinceStartMillis" to clock.monotonicMillis() - startMillis
+        )
     }
 
     /** Returns the longest wait of a request that arrives now, in milliseconds. */
