Tell a blocked event loop from a paused process in the log

The log could not say whether its event loop was blocked or the process was paused. A watchdog thread now logs event_loop_blocked with the stack, event_loop_resumed or process_paused.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -100,6 +100,7 @@
         .build()
     private val platform = connectPlatform(clientFactory, clock)
     private val state = ServingState(settings, clock)
+    private val watchdog = EventLoopWatchdog(clock)
     private val ownRecord = LeaderRecord(
         instance = settings.instance,
         run = UUID.randomUUID().toString(),
@@ -196,6 +197,7 @@
         scope.launch { elector.run() }
         scope.launch { runPeriodicTasks() }
         leaderConnections.start()
+        watchdog.start()
         DecisionLog.record(
             "started",
             "instance" to settings.instance,
@@ -217,6 +219,7 @@
             val removals = state.directory.removeExpired(clock.monotonicMillis())
             state.apply(removals)
             memberAgent.tick()
+            watchdog.tick()
             delay(TICK_INTERVAL_MILLIS)
         }
     }
@@ -263,6 +266,7 @@
     override fun close() {
         scope.cancel()
         Metrics.removeRegistry(metrics)
+        watchdog.close()
         leaderConnections.close()
         server.stop().join()
         clientFactory.close()
