--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
@@ -71,7 +71,7 @@
         scope.launch { followLeader() }
     }
 
-    /** Sends a report at once, because requests wait for a decision of the leader. */
+    /** Sends a report as soon as its minimum interval allows, because requests wait for it. */
     public fun reportNow() {
         isUrgentReportDue = true
         reportSignal.trySend(Unit)
