--- a/instance/src/main/kotlin/mustarddale/instance/serving/EventLoopWatchdog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/EventLoopWatchdog.kt
@@ -1,7 +1,7 @@
 /*
- * Tells from the log whether the event loop is blocked or the whole process has been paused. All
- * decisions run on the event loop, so while it is blocked nothing else is logged. The watchdog's own
- * thread compares the time of the loop's last tick with its own sleeps.
+ * Logs whether the event loop is blocked or the whole process has been paused. All decisions run on
+ * the event loop, so while it is blocked nothing else is logged. The watchdog's own thread compares
+ * the time of the loop's last tick with its own sleeps.
  */
 package mustarddale.instance.serving
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
@@ -34,7 +34,7 @@
         signal.trySend(Unit)
     }
 
-    /** Processes a [message] of the instance; throws [IOException] if it is not one for a leader. */
+    /** Processes a [message] of the instance; throws [IOException] if only leaders send it. */
     fun handle(message: LeaderMessage) {
         when (message) {
             is LeaderMessage.Report -> {
