--- a/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/TestStack.kt
@@ -7,7 +7,6 @@
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
-import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
@@ -32,6 +31,7 @@
 import mustarddale.instance.settings.OperatorCredential
 import mustarddale.instance.settings.Settings
 import mustarddale.key.Sha256
+import mustarddale.platform.standin.FreePorts
 import mustarddale.standin.EngineSetup
 import mustarddale.standin.EngineStandIn
 import mustarddale.standin.InMemoryLog
@@ -174,7 +174,7 @@
             limits = Limits(rateSlots = 12)
         )
 
-        fun freePort(): Int = ServerSocket(0).use { it.localPort }
+        fun freePort(): Int = FreePorts.next()
 
         /** Polls [condition] until it holds, at most for the 4 s that a change may take. */
         fun awaitCondition(description: String, condition: () -> Boolean) =
