Log how a response body without a length ended, and the framing of incomplete ones

The new line response_ended has the framing, the bytes of an incomplete event at the end, and the error.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ConnectionMonitor.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ConnectionMonitor.kt
@@ -19,24 +19,33 @@
 import java.io.IOException
 import java.net.InetSocketAddress
 
+/** What marks the end of a response body. */
+public enum class BodyFraming { LENGTH, CHUNKS, CONNECTION_CLOSE }
+
 /**
  * Monitors one connection and restores request targets on it; runs on the connection's event loop.
  */
 public class ConnectionMonitor : ChannelDuplexHandler() {
-    private var isCloseDelimited = false
     private var hasFailed = false
 
+    /** The framing of the latest response. */
+    public var framing: BodyFraming = BodyFraming.LENGTH
+        private set
+
     /** Whether the latest response has no length and its connection has failed. */
-    public val wasTruncated: Boolean get() = isCloseDelimited && hasFailed
+    public val wasTruncated: Boolean get() = framing == BodyFraming.CONNECTION_CLOSE && hasFailed
 
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
-        if (msg is HttpResponse) {
-            isCloseDelimited =
-                !HttpUtil.isContentLengthSet(msg) && !HttpUtil.isTransferEncodingChunked(msg)
-        }
+        if (msg is HttpResponse) framing = framingOf(msg)
         ctx.fireChannelRead(msg)
     }
 
+    private fun framingOf(response: HttpResponse): BodyFraming = when {
+        HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKS
+        HttpUtil.isContentLengthSet(response) -> BodyFraming.LENGTH
+        else -> BodyFraming.CONNECTION_CLOSE
+    }
+
     override fun write(ctx: ChannelHandlerContext, msg: Any, promise: ChannelPromise) {
         if (msg is HttpRequest) RequestTarget.restore(msg)
         ctx.write(msg, promise)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -208,6 +208,7 @@
             return AttemptResult(RequestOutcome.FAILED, isFinal = false)
         }
         val error = relay.relay(response)
+        requestLog.logResponseEnd(relay.framing, relay.partialEventBytes, error)
         // The server sent a response head, so a truncated body does not count as a lost server.
         if (error != null) return AttemptResult(RequestOutcome.FAILED, failUnlessRepeatable(error))
         requestLog.logFinished(status.codeAsText())
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -72,6 +72,24 @@
         )
     }
 
+    /**
+     * Logs the end of a response body that only the end of its connection marks, or that is
+     * incomplete because of [error].
+     *
+     * @param partialEventBytes length of the incomplete event at its end.
+     */
+    fun logResponseEnd(framing: BodyFraming?, partialEventBytes: Int, error: String?) {
+        if (framing != BodyFraming.CONNECTION_CLOSE && error == null) return
+        DecisionLog.recordRequest(
+            "response_ended",
+            request.head.requestId,
+            isSuccess = error == null && partialEventBytes == 0,
+            "framing" to framing,
+            "partialEventBytes" to partialEventBytes,
+            "error" to error
+        )
+    }
+
     /** Logs that the caller has received its complete response with [status]. */
     fun logFinished(status: String) {
         responseHeadMillis?.let { firstByteTimer().record(it, TimeUnit.MILLISECONDS) }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
@@ -23,6 +23,14 @@
     /** Id of the event after which the next server continues, null for the whole stream. */
     val lastEventId: String? get() = eventSplitter.lastEventId
 
+    /** The framing of the response relayed last, null before the first. */
+    var framing: BodyFraming? = null
+        private set
+
+    /** The length of the incomplete event at the end of the stream relayed last. */
+    var partialEventBytes: Int = 0
+        private set
+
     /** Relays [response]; returns why it is incomplete, null if the caller has all of it. */
     suspend fun relay(response: SendResult.Responded): String? {
         val isResumed = writer.hasStarted
@@ -31,6 +39,7 @@
         if (!request.route.isStream || !status.isSuccess) return relayBuffered(response)
         if (!isResumed) writer.writeHead(protocol.callerHeaders(response.headers))
         val failure = relayStream(response)
+        partialEventBytes = eventSplitter.partialEventBytes
         eventSplitter.dropPartialEvent()
         if (failure == null) writer.complete()
         return failure
@@ -54,14 +63,16 @@
     private suspend fun relayStream(response: SendResult.Responded): String? {
         val isResumable = request.route.repeatability == Repeatability.RESUMABLE
         val failure = readBody(response) { data ->
-            val bytes = if (isResumable) eventSplitter.append(data.array()) else data.array()
+            val completeEvents = eventSplitter.append(data.array())
+            val bytes = if (isResumable) completeEvents else data.array()
             if (eventSplitter.partialEventBytes > MAX_EVENT_BYTES) {
                 throw IOException("an event is too large")
             }
             if (bytes.isNotEmpty()) writer.writeBody(HttpData.wrap(bytes))
         }
         return failure
-            ?: "the stream ended within an event".takeIf { eventSplitter.hasPartialEvent }
+            ?: "the stream ended within an event"
+                .takeIf { isResumable && eventSplitter.hasPartialEvent }
     }
 
     /** Passes the body to [onChunk]; returns why it is incomplete, null if it has ended. */
@@ -70,6 +81,7 @@
         response: SendResult.Responded,
         onChunk: suspend (HttpData) -> Unit
     ): String? {
+        framing = response.connection?.framing
         try {
             response.body.collect { onChunk(it) }
         } catch (e: CancellationException) {
