Treat a stream that ends within an event as broken off, whatever its framing

Cause: an answer with neither a length nor chunks ends with its connection; if the engine breaks it off and the connection ends in order, the HTTP library reports a complete body. Only resumable streams were checked for an event that had not ended.

Now each stream is scanned for event boundaries. One that ends within an event, or before its first event unless it continues after one, has failed: the caller's connection closes without the last chunk, and a resumable stream continues at another server. Event boundaries are found incrementally, with LF, CR LF and CR.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/EventSplitter.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/EventSplitter.kt
@@ -12,18 +12,17 @@
     public var lastEventId: String? = lastEventId
         private set
 
-    /** Whether the bytes so far end within an event. */
-    public val hasPartialEvent: Boolean get() = partialEvent.isNotEmpty()
-
-    /** The length of the incomplete event at the end. */
-    public val partialEventBytes: Int get() = partialEvent.size
-
-    /** Appends [bytes] and returns all events that are complete now. */
-    public fun append(bytes: ByteArray): ByteArray {
-        val all = partialEvent + bytes
-        val end = endOfLastEvent(all)
-        partialEvent = all.copyOfRange(end, all.size)
-        val completeEvents = all.copyOfRange(0, end)
+    /**
+     * Appends [bytes], the first [completeBytes] of which belong to complete events; returns all
+     * events that are complete now.
+     */
+    public fun append(bytes: ByteArray, completeBytes: Int): ByteArray {
+        if (completeBytes == 0) {
+            partialEvent += bytes
+            return ByteArray(0)
+        }
+        val completeEvents = partialEvent + bytes.copyOfRange(0, completeBytes)
+        partialEvent = bytes.copyOfRange(completeBytes, bytes.size)
         idOfLastEvent(completeEvents)?.let { lastEventId = it }
         return completeEvents
     }
@@ -33,16 +32,6 @@
         partialEvent = ByteArray(0)
     }
 
-    private fun endOfLastEvent(bytes: ByteArray): Int {
-        for (index in bytes.size - 1 downTo 1) {
-            if (bytes[index] != LF) continue
-            val isBlank = bytes[index - 1] == LF ||
-                index > 1 && bytes[index - 1] == CR && bytes[index - 2] == LF
-            if (isBlank) return index + 1
-        }
-        return 0
-    }
-
     private fun idOfLastEvent(events: ByteArray): String? = String(events, Charsets.UTF_8)
         .lineSequence()
         .lastOrNull { it.startsWith(ID_FIELD) }
@@ -50,8 +39,6 @@
         ?.trim()
 
     private companion object {
-        const val LF = '\n'.code.toByte()
-        const val CR = '\r'.code.toByte()
         const val ID_FIELD = "id:"
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
@@ -1,7 +1,8 @@
 /*
  * Relays a backend server's response to the caller: buffered responses once they are complete,
- * streams as they arrive. A resumable stream is relayed in whole events, so that another server can
- * continue after the last one.
+ * streams as they arrive. A stream that ends within an event was broken off, even if its
+ * connection ended in order. A resumable stream is relayed in whole events, so that another server
+ * can continue after the last one.
  */
 package mustarddale.instance.serving.forward
 
@@ -38,8 +39,7 @@
         if (isResumed && !status.isSuccess) return "resuming the stream failed with status $status"
         if (!request.route.isStream || !status.isSuccess) return relayBuffered(response)
         if (!isResumed) writer.writeHead(protocol.callerHeaders(response.headers))
-        val failure = relayStream(response)
-        partialEventBytes = eventSplitter.partialEventBytes
+        val failure = relayStream(response, isResumed)
         eventSplitter.dropPartialEvent()
         if (failure == null) writer.complete()
         return failure
@@ -60,19 +60,26 @@
         return null
     }
 
-    private suspend fun relayStream(response: SendResult.Responded): String? {
+    private suspend fun relayStream(response: SendResult.Responded, isResumed: Boolean): String? {
         val isResumable = request.route.repeatability == Repeatability.RESUMABLE
+        val scanner = EventScanner()
         val failure = readBody(response) { data ->
-            val completeEvents = eventSplitter.append(data.array())
-            val bytes = if (isResumable) completeEvents else data.array()
-            if (eventSplitter.partialEventBytes > MAX_EVENT_BYTES) {
+            val bytes = data.array()
+            val completeBytes = scanner.scan(bytes)
+            val passedBytes = if (isResumable) eventSplitter.append(bytes, completeBytes) else bytes
+            if (isResumable && scanner.partialEventBytes > MAX_EVENT_BYTES) {
                 throw IOException("an event is too large")
             }
-            if (bytes.isNotEmpty()) writer.writeBody(HttpData.wrap(bytes))
+            if (passedBytes.isNotEmpty()) writer.writeBody(HttpData.wrap(passedBytes))
+        }
+        partialEventBytes = scanner.partialEventBytes
+        val mayBeEmpty = isResumed || request.head.lastEventId != null
+        return when {
+            failure != null -> failure
+            scanner.partialEventBytes > 0 -> "the stream ended within an event"
+            scanner.hasCompleteEvent || mayBeEmpty -> null
+            else -> "the stream ended before its first event"
         }
-        return failure
-            ?: "the stream ended within an event"
-                .takeIf { isResumable && eventSplitter.hasPartialEvent }
     }
 
     /** Passes the body to [onChunk]; returns why it is incomplete, null if it has ended. */
--- a/instance/src/test/kotlin/mustarddale/instance/serving/forward/EventSplitterTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/forward/EventSplitterTest.kt
@@ -43,14 +43,32 @@
                 "7",
                 false
             ),
+            Case(
+                "lines end with CR, one of them followed by the LF of the next chunk",
+                listOf("id: 1\r\r", "\nid: 2\r", "\r"),
+                listOf("id: 1\r\r", "\n", "id: 2\r\r"),
+                "2",
+                false
+            ),
+            Case(
+                "CR LF in two chunks within an event",
+                listOf("id: 3\r", "\n", "\r\n"),
+                listOf("", "", "id: 3\r\n\r\n"),
+                "3",
+                false
+            ),
             Case("no event id", listOf("data: x\n\n"), listOf("data: x\n\n"), "start", false),
             Case("nothing", emptyList(), emptyList(), "start", false)
         ).forEach { case ->
+            val scanner = EventScanner()
             val splitter = EventSplitter("start")
-            val completeEvents = case.chunks.map { String(splitter.append(it.toByteArray())) }
+            val completeEvents = case.chunks.map {
+                val bytes = it.toByteArray()
+                String(splitter.append(bytes, scanner.scan(bytes)))
+            }
             assertEquals(case.completeEvents, completeEvents, case.name)
             assertEquals(case.lastEventId, splitter.lastEventId, case.name)
-            assertEquals(case.hasPartialEvent, splitter.hasPartialEvent, case.name)
+            assertEquals(case.hasPartialEvent, scanner.partialEventBytes > 0, case.name)
         }
     }
 }
