Relay an answer on a stream route that is no event stream only when complete

Event boundaries say nothing about a JSON answer, which the check for broken-off streams would have failed. Such an answer is buffered, as on other routes.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
@@ -7,6 +7,8 @@
 package mustarddale.instance.serving.forward
 
 import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.reactive.collect
@@ -37,7 +39,9 @@
         val isResumed = writer.hasStarted
         val status = response.headers.status()
         if (isResumed && !status.isSuccess) return "resuming the stream failed with status $status"
-        if (!request.route.isStream || !status.isSuccess) return relayBuffered(response)
+        if (!request.route.isStream || !status.isSuccess || !isEventStream(response.headers)) {
+            return relayBuffered(response)
+        }
         if (!isResumed) writer.writeHead(protocol.callerHeaders(response.headers))
         val failure = relayStream(response, isResumed)
         eventSplitter.dropPartialEvent()
@@ -45,6 +49,9 @@
         return failure
     }
 
+    private fun isEventStream(headers: ResponseHeaders): Boolean =
+        headers.contentType()?.`is`(MediaType.EVENT_STREAM) ?: true
+
     private suspend fun relayBuffered(response: SendResult.Responded): String? {
         val chunks = ArrayList<HttpData>()
         var bufferedBytes = 0
