Fail a response without a length at the connection, for every reader of bodies

What callers saw in a test of the product's own interface: a booking whose service reset the connection within an answer without a length got the truncated answer as complete, and it was recorded as the answer for retries (HttpRouteClientTest: red before, 'no length, reset: Responded'). Cause: the HTTP library takes any end of a connection for the end of such a response; ConnectionMonitor knew better, but only the platform's forwarding asked it. Class: readers that take the end of a connection for the end of a message.

TruncationGuard now sits below the HTTP library on every client connection of both interfaces and drops the end that only a failed connection has given, so each reader sees a failed body without asking. It also counts a failed write: the system reports a reset once, and a write may be the first to see it (not reproduced with sockets). ConnectionMonitor is gone; RequestTarget.Restorer keeps its other half.

--- a/instance/src/main/kotlin/mustarddale/instance/Instance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/Instance.kt
@@ -4,7 +4,6 @@
  */
 package mustarddale.instance
 
-import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
@@ -37,6 +36,7 @@
 import mustarddale.instance.decision.SlotLeaseManager
 import mustarddale.instance.duty.PeriodicDuty
 import mustarddale.instance.engine.HttpEngineClient
+import mustarddale.instance.http.BackendConnections
 import mustarddale.instance.log.CheckpointDuty
 import mustarddale.instance.log.ControlStore
 import mustarddale.instance.log.HttpLogClient
@@ -65,7 +65,7 @@
     AutoCloseable {
     private val phase = AtomicReference(LifecyclePhase.STARTING)
     private val writer = WriterId(settings.instanceId, UUID.randomUUID().toString())
-    private val clientFactory = ClientFactory.builder()
+    private val clientFactory = BackendConnections.factoryBuilder()
         .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
         .pingIntervalMillis(PING_INTERVAL_MILLIS)
         .build()
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/http/BackendConnections.kt
@@ -0,0 +1,53 @@
+package mustarddale.instance.http
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.ClientFactoryBuilder
+import com.linecorp.armeria.client.ConnectionPoolListener
+import com.linecorp.armeria.common.SessionProtocol
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandler
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.util.AttributeKey
+import io.netty.util.AttributeMap
+import java.net.InetSocketAddress
+
+/** Connections to backend servers and other services. */
+public object BackendConnections {
+    private val guardKey = AttributeKey.valueOf<TruncationGuard>("truncation-guard")
+
+    /**
+     * Returns a builder of factories whose clients never take a truncated response for whole.
+     *
+     * @param requestHandler a sharable handler of the requests on HTTP/1 connections, null for none.
+     */
+    public fun factoryBuilder(requestHandler: ChannelHandler? = null): ClientFactoryBuilder =
+        ClientFactory.builder().connectionPoolListener(GuardInstaller(requestHandler))
+
+    /** Returns the framing of the latest response on [channel], null if it is not HTTP/1. */
+    public fun framingOn(channel: Channel?): BodyFraming? = channel?.attr(guardKey)?.get()?.framing
+
+    /** Adds a guard to each new HTTP/1 connection; HTTP/2 marks the end of each response. */
+    private class GuardInstaller(private val requestHandler: ChannelHandler?) :
+        ConnectionPoolListener {
+        override fun connectionOpen(
+            protocol: SessionProtocol,
+            remoteAddr: InetSocketAddress,
+            localAddr: InetSocketAddress,
+            attrs: AttributeMap
+        ) {
+            val pipeline = (attrs as? Channel)?.pipeline() ?: return
+            val codec = pipeline.context(HttpClientCodec::class.java) ?: return
+            val guard = TruncationGuard()
+            pipeline.addAfter(codec.name(), null, guard)
+            attrs.attr(guardKey).set(guard)
+            requestHandler?.let { pipeline.addAfter(codec.name(), null, it) }
+        }
+
+        override fun connectionClosed(
+            protocol: SessionProtocol,
+            remoteAddr: InetSocketAddress,
+            localAddr: InetSocketAddress,
+            attrs: AttributeMap
+        ): Unit = Unit
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -30,12 +30,12 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import mustarddale.instance.http.BackendConnections
 import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.feed.TopicLog
 import mustarddale.instance.serving.forward.Admission
 import mustarddale.instance.serving.forward.BackendClient
 import mustarddale.instance.serving.forward.CallerService
-import mustarddale.instance.serving.forward.ConnectionMonitor
 import mustarddale.instance.serving.forward.Forwarder
 import mustarddale.instance.serving.forward.RequestTarget
 import mustarddale.instance.serving.leader.EngineControlClient
@@ -87,11 +87,10 @@
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val random = RandomGenerator.getDefault()
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    private val clientFactory = ClientFactory.builder()
+    private val clientFactory = BackendConnections.factoryBuilder(RequestTarget.Restorer)
         .workerGroup(eventLoopGroup, false)
         .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
         .idleTimeoutMillis(BACKEND_IDLE_TIMEOUT_MILLIS)
-        .connectionPoolListener(ConnectionMonitor.Installer)
         .channelOption(ChannelOption.SO_KEEPALIVE, true)
         .channelOption(EpollChannelOption.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MILLIS)
         .channelOption(EpollChannelOption.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
@@ -18,6 +18,8 @@
 import com.linecorp.armeria.common.stream.StreamMessage
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.future.await
+import mustarddale.instance.http.BackendConnections
+import mustarddale.instance.http.BodyFraming
 import mustarddale.instance.serving.protocol.ResponseHead
 import mustarddale.instance.serving.protocol.ResponseKind
 import mustarddale.instance.serving.protocol.ServingProtocol
@@ -30,7 +32,7 @@
         public val headers: ResponseHeaders,
         public val head: ResponseHead,
         public val body: StreamMessage<HttpData>,
-        public val connection: ConnectionMonitor?
+        public val framing: BodyFraming?
     ) : SendResult
 
     /**
@@ -85,10 +87,10 @@
     ): SendResult {
         val parts = response.split()
         val headers = parts.headers().await()
-        val connection = ConnectionMonitor.on(context.log().partial().channel())
+        val framing = BackendConnections.framingOn(context.log().partial().channel())
         val head = protocol.readResponse(headers, requestId)
         return when (head.kind) {
-            ResponseKind.PROPER -> SendResult.Responded(headers, head, parts.body(), connection)
+            ResponseKind.PROPER -> SendResult.Responded(headers, head, parts.body(), framing)
 
             ResponseKind.NOT_RUN, ResponseKind.NOT_HERE -> {
                 parts.body().subscribe(BodyDrain(MAX_REFUSAL_BYTES))
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -5,6 +5,7 @@
 import java.time.Duration
 import java.util.Locale
 import java.util.concurrent.TimeUnit
+import mustarddale.instance.http.BodyFraming
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendSelection
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestTarget.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestTarget.kt
@@ -7,9 +7,12 @@
 
 import com.linecorp.armeria.common.RequestHeaders
 import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOutboundHandlerAdapter
 import io.netty.channel.ChannelPipeline
+import io.netty.channel.ChannelPromise
 import io.netty.channel.CombinedChannelDuplexHandler
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.util.AsciiString
@@ -27,11 +30,19 @@
         pipeline.addFirst(PreserverInstaller())
     }
 
-    /** Moves the preserved target of [request] from the header back to the request line. */
-    internal fun restore(request: HttpRequest) {
-        val target = request.headers().get(targetHeader) ?: return
-        request.headers().remove(targetHeader)
-        request.uri = target
+    /** Moves the preserved target of each request from the header back to the request line. */
+    @ChannelHandler.Sharable
+    internal object Restorer : ChannelOutboundHandlerAdapter() {
+        override fun write(ctx: ChannelHandlerContext, msg: Any, promise: ChannelPromise) {
+            if (msg is HttpRequest) restore(msg)
+            ctx.write(msg, promise)
+        }
+
+        private fun restore(request: HttpRequest) {
+            val target = request.headers().get(targetHeader) ?: return
+            request.headers().remove(targetHeader)
+            request.uri = target
+        }
     }
 
     /**
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
@@ -12,6 +12,7 @@
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.reactive.collect
+import mustarddale.instance.http.BodyFraming
 import mustarddale.instance.serving.protocol.ServingProtocol
 import mustarddale.serving.config.Repeatability
 
@@ -95,16 +96,14 @@
         response: SendResult.Responded,
         onChunk: suspend (HttpData) -> Unit
     ): String? {
-        framing = response.connection?.framing
-        try {
+        framing = response.framing
+        return try {
             response.body.collect { onChunk(it) }
+            null
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            return "the response was cut off: $e"
-        }
-        return "the connection was reset within the response".takeIf {
-            response.connection?.wasTruncated == true
+            "the response was cut off: $e"
         }
     }
 
