Block requests with the parts of prompts that crash engines

Cause: a crash counted against the engine only, each instance saw about a ninth of the evidence, and the next request with the part went to the next engine. Class: a verdict that no instance can reach alone.

Instances report which parts of prompts were answered and which were in requests without a whole event when their server was lost. The leader joins them (CrashAnalyzer): a part is blocked once the expected number of sound parts with such evidence is below 0.01, together with parts that were in just the same requests; an answer takes a part out of its block, and crashes that a block explains count against no other part. A blocked request is refused as not run, with the time of the next probe; the leader permits one request at a time as a probe, after 20 s and then at doubled intervals. Blocks reach all instances with the leader's state and a new leader with their reports. A request that may have crashed its server is not repeated.

--- a/instance/src/main/kotlin/mustarddale/instance/http/BackendConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/BackendConnections.kt
@@ -18,7 +18,7 @@
     /**
      * Returns a builder of factories whose clients never take a truncated response for whole.
      *
-     * @param requestHandler a sharable handler of the requests on HTTP/1 connections, null for none.
+     * @param requestHandler a sharable handler of requests over HTTP/1, null for none.
      */
     public fun factoryBuilder(requestHandler: ChannelHandler? = null): ClientFactoryBuilder =
         ClientFactory.builder().connectionPoolListener(GuardInstaller(requestHandler))
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
@@ -45,8 +45,14 @@
     /** The request was not written to a connection. */
     public data class NotSent(public val reason: String) : SendResult
 
-    /** The request may have run; no valid response arrived. */
-    public data class OutcomeUnknown(public val reason: String) : SendResult
+    /**
+     * The request may have run; no valid response arrived, because the connection was lost if
+     * [hasLostConnection].
+     */
+    public data class OutcomeUnknown(
+        public val reason: String,
+        public val hasLostConnection: Boolean
+    ) : SendResult
 }
 
 /** Sends requests to backend servers over the connections of [factory]. */
@@ -76,7 +82,7 @@
             SendResult.NotSent(e.cause.toString())
         } catch (e: Exception) {
             response.abort()
-            SendResult.OutcomeUnknown(e.toString())
+            SendResult.OutcomeUnknown(e.toString(), hasLostConnection = true)
         }
     }
 
@@ -100,7 +106,8 @@
             ResponseKind.FOREIGN -> {
                 response.abort()
                 SendResult.OutcomeUnknown(
-                    "the response is for another request or not from the server"
+                    "the response is for another request or not from the server",
+                    hasLostConnection = false
                 )
             }
         }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -34,7 +34,8 @@
     private val triedBackendIds = HashSet<String>()
     private var possibleExecutions = 0
     private var mayBeRunning = false
-    private val relay = ResponseRelay(request, writer, protocol)
+    private val promptGate = PromptGate(request, state, loans)
+    private val relay = ResponseRelay(request, writer, protocol, promptGate::recordAnswer)
     private val requestLog = RequestLog(request, state.configuration?.version, clock)
 
     /** Tries servers in turn until the caller has a complete response, a refusal or an abort. */
@@ -44,6 +45,8 @@
         }
         state.retryBudgetOf(request.service).recordRequest(clock.monotonicMillis())
         while (true) {
+            val blocked = promptGate.refusal()
+            if (blocked != null) return refuseOrFail(blocked)
             val chosen = chooseBackend() ?: return
             val isFinal = sendTo(chosen)
             if (isFinal) return
@@ -186,18 +189,20 @@
 
             is SendResult.OutcomeUnknown -> {
                 possibleExecutions++
+                if (result.hasLostConnection) promptGate.recordLost(backend)
                 AttemptResult(RequestOutcome.LOST, failUnlessRepeatable(result.reason))
             }
 
             is SendResult.Responded -> {
                 possibleExecutions++
                 result.head.load?.let { load.report(it, nowMillis) }
-                handleResponse(load, result, nowMillis)
+                handleResponse(backend, load, result, nowMillis)
             }
         }
     }
 
     private suspend fun handleResponse(
+        backend: Backend,
         load: BackendLoad,
         response: SendResult.Responded,
         nowMillis: Long
@@ -209,6 +214,7 @@
         }
         val error = relay.relay(response)
         requestLog.logResponseEnd(relay.framing, relay.partialEventBytes, error)
+        if (error != null && !relay.isAnswered) promptGate.recordLost(backend)
         // The server sent a response head, so a truncated body does not count as a lost server.
         if (error != null) return AttemptResult(RequestOutcome.FAILED, failUnlessRepeatable(error))
         requestLog.logFinished(status.codeAsText())
@@ -242,23 +248,24 @@
     /** Ends the response as failed and returns true, unless another server may be tried. */
     private fun failUnlessRepeatable(reason: String): Boolean {
         val repeatability = request.route.repeatability
-        val mayContinue = repeatability == Repeatability.RESUMABLE ||
+        val mayRepeat = repeatability == Repeatability.RESUMABLE ||
             repeatability == Repeatability.IDEMPOTENT && !writer.hasStarted
+        val mayContinue = mayRepeat && !promptGate.mayHaveCrashedServer
         if (mayContinue && possibleExecutions < request.route.maxAttempts) return false
         fail(reason)
         return true
     }
 
     private fun refuseOrFail(reason: String, retryAfterMillis: Long? = null) {
-        if (possibleExecutions == 0) refuse(reason, retryAfterMillis) else fail(reason)
+        val retryMillis =
+            retryAfterMillis ?: (RETRY_AFTER_MILLIS + jitterMillis(RETRY_JITTER_MILLIS))
+        refuseOrFail(Refusal(ErrorKind.NO_BACKEND, reason, retryAfterMillis = retryMillis))
     }
 
-    private fun refuse(reason: String, retryAfterMillis: Long? = null) {
+    private fun refuseOrFail(refusal: Refusal) {
+        if (possibleExecutions > 0) return fail(refusal.message)
         request.account?.let { state.quota.refund(it, request.tokens) }
-        val retryMillis =
-            retryAfterMillis ?: (RETRY_AFTER_MILLIS + jitterMillis(RETRY_JITTER_MILLIS))
-        val refusal = Refusal(ErrorKind.NO_BACKEND, reason, retryAfterMillis = retryMillis)
-        requestLog.logEnd("refused", reason)
+        requestLog.logEnd("refused", refusal.message)
         writer.refuse(refusal)
     }
 
@@ -274,7 +281,7 @@
     /** Ends the request because its deadline has passed. */
     fun timeOut() {
         if (possibleExecutions == 0 && !mayBeRunning) {
-            refuse("the deadline passed before a server accepted the request")
+            refuseOrFail("the deadline passed before a server accepted the request")
         } else {
             requestLog.logEnd("timed_out", "the deadline passed")
             if (writer.hasStarted) {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
@@ -20,7 +20,8 @@
 internal class ResponseRelay(
     private val request: AdmittedRequest,
     private val writer: ResponseWriter,
-    private val protocol: ServingProtocol
+    private val protocol: ServingProtocol,
+    private val onAnswered: () -> Unit
 ) {
     private val eventSplitter = EventSplitter(request.head.lastEventId)
 
@@ -31,12 +32,17 @@
     var framing: BodyFraming? = null
         private set
 
+    /** Whether the response relayed last had a complete event or body. */
+    var isAnswered: Boolean = false
+        private set
+
     /** The length of the incomplete event at the end of the stream relayed last. */
     var partialEventBytes: Int = 0
         private set
 
     /** Relays [response]; returns why it is incomplete, null if the caller has all of it. */
     suspend fun relay(response: SendResult.Responded): String? {
+        isAnswered = false
         val isResumed = writer.hasStarted
         val status = response.headers.status()
         if (isResumed && !status.isSuccess) return "resuming the stream failed with status $status"
@@ -62,6 +68,7 @@
             chunks.add(it)
         }
         if (failure != null) return failure
+        recordAnswered()
         writer.writeHead(protocol.callerHeaders(response.headers))
         chunks.forEach { writer.writeBody(it) }
         writer.complete()
@@ -75,6 +82,7 @@
             val bytes = data.array()
             val completeBytes = scanner.scan(bytes)
             val passedBytes = if (isResumable) eventSplitter.append(bytes, completeBytes) else bytes
+            if (scanner.hasCompleteEvent) recordAnswered()
             if (isResumable && scanner.partialEventBytes > MAX_EVENT_BYTES) {
                 throw IOException("an event is too large")
             }
@@ -90,6 +98,12 @@
         }
     }
 
+    private fun recordAnswered() {
+        if (isAnswered) return
+        isAnswered = true
+        onAnswered()
+    }
+
     /** Passes the body to [onChunk]; returns why it is incomplete, null if it has ended. */
     @Suppress("TooGenericExceptionCaught")
     private suspend fun readBody(
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -10,10 +10,12 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.ColdStartLimiter
 import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderRecord
+import mustarddale.serving.prompt.CrashAnalyzer
 import mustarddale.time.Clock
 
 /**
@@ -52,6 +54,7 @@
         val nowMillis = clock.monotonicMillis()
         current.shares.handleReport(report, nowMillis)
         current.placement.handleReport(report, nowMillis)
+        current.handlePromptReport(report, nowMillis)
         return true
     }
 
@@ -78,7 +81,8 @@
             shareTotal = ShareController.GRANTED_FRACTION,
             shareLeaseMillis = ShareController.SHARE_LEASE_MILLIS,
             instances = current.shares.holderCount,
-            engines = current.contents.changesSince(seenVersion, nowMillis)
+            engines = current.contents.changesSince(seenVersion, nowMillis),
+            promptBlocks = current.crashes.blocks(nowMillis)
         )
     }
 
@@ -88,6 +92,7 @@
         return when (request) {
             is LeaderMessage.TokensWanted -> current.shares.lend(request)
             is LeaderMessage.ColdPermitWanted -> lendColdPermit(current, request)
+            is LeaderMessage.ProbeWanted -> lendProbe(current, request)
         }
     }
 
@@ -102,6 +107,15 @@
         return LeaderMessage.LoanAnswer(request.number, waitMillis ?: 0)
     }
 
+    private fun lendProbe(
+        current: TermWork,
+        request: LeaderMessage.ProbeWanted
+    ): LeaderMessage.LoanAnswer {
+        val waitMillis = current.crashes.requestProbe(request.parts, clock.monotonicMillis())
+        if (waitMillis == 0L) DecisionLog.record("prompt_block_probed", "parts" to request.parts)
+        return LeaderMessage.LoanAnswer(request.number, waitMillis)
+    }
+
     private fun activeTerm(): TermWork? {
         val term = elector.ownTerm()
         val newest = newestTerm ?: return null
@@ -131,6 +145,7 @@
     private inner class TermWork(val leadership: LeadershipTerm) {
         val contents = EngineContentsRegistry { onStateChanged() }
         val coldStarts = ColdStartLimiter(leadership.sinceMillis)
+        val crashes = CrashAnalyzer()
         val shares = ShareController(leadership, state, clock) { onStateChanged() }
         val placement = PlacementController(
             scope,
@@ -156,8 +171,34 @@
             }
         }
 
+        /** Processes what an instance's report says about answered and lost requests. */
+        fun handlePromptReport(report: LeaderMessage.Report, nowMillis: Long) {
+            if (report.term != leadership.term) {
+                report.promptBlocks.forEach { crashes.adopt(it, nowMillis) }
+            }
+            val hasUnblocked = crashes.recordAnswers(report.promptAnswers, report.answeredParts)
+            report.crashSuspects.forEach { crashes.recordSuspect(it, nowMillis) }
+            if (!hasUnblocked) return
+            DecisionLog.record("prompts_unblocked", "blocked" to crashes.blocks(nowMillis))
+            onStateChanged()
+        }
+
+        private fun blockPrompts(nowMillis: Long) {
+            val newBlocks = crashes.blockSuspects(nowMillis)
+            newBlocks.forEach {
+                DecisionLog.record(
+                    "prompts_blocked",
+                    "parts" to it.parts,
+                    "crashed" to it.servers,
+                    "term" to leadership.term
+                )
+            }
+            if (newBlocks.isNotEmpty()) onStateChanged()
+        }
+
         private fun tick() {
             val nowMillis = clock.monotonicMillis()
+            blockPrompts(nowMillis)
             shares.tick(nowMillis)
             placement.tick(nowMillis)
         }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLoans.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLoans.kt
@@ -53,6 +53,14 @@
         return waitMillis?.takeIf { ageMillis < ColdStartLimiter.PERMIT_LIFETIME_MILLIS }
     }
 
+    /**
+     * Requests a permit to send one blocked request, whose prompt has [parts]; returns 0 if it was
+     * granted, else the milliseconds until the next one is available, or null if the leader
+     * gave no answer.
+     */
+    public suspend fun borrowProbe(parts: List<String>): Long? =
+        request(TOKEN_TIMEOUT_MILLIS) { LeaderMessage.ProbeWanted(it, parts) }
+
     private suspend fun request(
         timeoutMillis: Long,
         message: (Long) -> LeaderMessage.LoanRequest
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -9,6 +9,8 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import mustarddale.serving.prompt.CrashSuspect
+import mustarddale.serving.prompt.PromptBlock
 
 /** A message between an instance and the leader. */
 @Serializable
@@ -25,6 +27,10 @@
      * @property backendOffset the offset after the last known record of the backend server list.
      * @property heardMillis the [State.sentMillis] of the newest state applied in [term], null if
      *   there was none.
+     * @property promptAnswers requests answered since the last report.
+     * @property answeredParts the parts of their prompts.
+     * @property crashSuspects requests that were unanswered when their server was lost.
+     * @property promptBlocks the blocks that this instance knows of.
      */
     @Serializable
     @SerialName("report")
@@ -38,7 +44,11 @@
         public val wantedTokens: Map<String, Double>,
         public val backendOffset: Long?,
         public val heardMillis: Long?,
-        public val demand: List<ServiceDemand>
+        public val demand: List<ServiceDemand>,
+        public val promptAnswers: Int = 0,
+        public val answeredParts: Set<String> = emptySet(),
+        public val crashSuspects: List<CrashSuspect> = emptyList(),
+        public val promptBlocks: List<PromptBlock> = emptyList()
     ) : LeaderMessage
 
     /**
@@ -52,6 +62,7 @@
      * @property instances the number of instances that may hold shares.
      * @property engines the engines whose contents have changed since the last message.
      * @property backends new records of the backend server list.
+     * @property promptBlocks all blocks of requests by parts of their prompts.
      */
     @Serializable
     @SerialName("state")
@@ -65,7 +76,8 @@
         public val shareLeaseMillis: Long,
         public val instances: Int,
         public val engines: List<EngineContents>,
-        public val backends: BackendNews? = null
+        public val backends: BackendNews? = null,
+        public val promptBlocks: List<PromptBlock> = emptyList()
     ) : LeaderMessage
 
     /** An instance's request for something that only the leader can grant. */
@@ -93,6 +105,12 @@
         public val backend: String
     ) : LoanRequest
 
+    /** A request for a permit to send one blocked request, whose prompt has [parts]. */
+    @Serializable
+    @SerialName("probe-wanted")
+    public data class ProbeWanted(override val number: Long, public val parts: List<String>) :
+        LoanRequest
+
     /** Grants the [LoanRequest] with [number] if [waitMillis] is 0, else says when to ask again. */
     @Serializable
     @SerialName("loan-answer")
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -44,6 +44,7 @@
         lastReportNumber++
         sentMillis[lastReportNumber] = clock.monotonicMillis()
         while (sentMillis.size > MAX_PENDING_REPORTS) sentMillis.remove(sentMillis.keys.first())
+        val answers = state.promptObservations.takeAnswers()
         return LeaderMessage.Report(
             instance = instance,
             run = run,
@@ -67,7 +68,11 @@
                         )
                     }
                 )
-            }
+            },
+            promptAnswers = answers.requests,
+            answeredParts = answers.parts,
+            crashSuspects = state.promptObservations.takeSuspects(),
+            promptBlocks = state.promptBlocks.current()
         )
     }
 
@@ -79,6 +84,7 @@
             state.residency.clear()
             term = message.term
             sharesRevision = 0
+            state.promptObservations.forgetReports()
         }
         leaderSentMillis = message.sentMillis
         effectiveShares.onLeaderMessage(nowMillis)
@@ -92,6 +98,7 @@
             val expectedAtMillis = engine.expected.mapValues { nowMillis + it.value }
             state.residency.update(engine.engine, engine.models, expectedAtMillis)
         }
+        state.promptBlocks.update(message.promptBlocks)
         state.instanceCount = message.instances.coerceAtLeast(1)
         applyShares(message, nowMillis)
         if (message.engines.isNotEmpty()) state.wakeModelWaiters()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
@@ -20,6 +20,7 @@
  * @property outputTokens the part of [tokens] that the engine generates.
  * @property callerTimeoutMillis how long the caller waits, null if it sets no limit.
  * @property lastEventId the event after which a stream is to continue, null for a whole stream.
+ * @property promptParts ids of the parts of the prompt that other requests may share.
  */
 public data class RequestHead(
     public val requestId: String,
@@ -30,7 +31,8 @@
     public val tokens: Double?,
     public val outputTokens: Double,
     public val callerTimeoutMillis: Long?,
-    public val lastEventId: String?
+    public val lastEventId: String?,
+    public val promptParts: List<String>
 )
 
 /**
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -43,6 +43,12 @@
     /** Tokens that each account may use beyond its burst, over all instances together. */
     public val extraQuotaTokens: Double get() = settings.quotaSlackTokens * EXTRA_QUOTA_FRACTION
 
+    /** What this instance has seen of the parts of prompts. */
+    public val promptObservations: PromptObservations = PromptObservations(clock)
+
+    /** The blocks of requests by parts of their prompts. */
+    public val promptBlocks: PromptBlocks = PromptBlocks(clock)
+
     /** The models that engines hold, as the leader reports them. */
     public val residency: ResidencyView = ResidencyView()
 
@@ -66,7 +72,7 @@
     /** The number of instances that share the retry budgets, null until a leader reports it. */
     public var instanceCount: Int? = null
 
-    /** Called when a request needs a model that no usable server holds. */
+    /** Called when a request needs a model that no usable server holds, or has lost its server. */
     public var onUrgentDemand: () -> Unit = {}
 
     /** Applies [next] if its version is newer than that of the configuration in force. */
