Treat a truncated response of the log as an unknown outcome

A response of the product's log that ends within its JSON threw SerializationException through HttpLogClient, which ends the thread that appends or reads. HttpLogClientTest: red before (JsonDecodingException), green after.

--- a/instance/src/main/kotlin/mustarddale/instance/log/HttpLogClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/log/HttpLogClient.kt
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletionException
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import mustarddale.config.ConfigurationFormat
 import mustarddale.control.LogRecord
 
@@ -37,12 +38,16 @@
         } else {
             AppendResult.Unknown(cause.toString())
         }
+    } catch (e: SerializationException) {
+        AppendResult.Unknown("unreadable response: ${e.message}")
     }
 
     override fun read(fromOffset: Long, waitMillis: Long): ReadResult = try {
         parseRead(reader.get("$PATH?from=$fromOffset&waitMillis=$waitMillis").aggregate().join())
     } catch (e: CompletionException) {
         ReadResult.Failed((e.cause ?: e).toString())
+    } catch (e: SerializationException) {
+        ReadResult.Failed("unreadable response: ${e.message}")
     }
 
     private fun parseAppend(response: AggregatedHttpResponse): AppendResult {
