Do not take a truncated read of the store for all of its records

A read whose body ends in order before or between records looked whole: the election took the offset of the log's end as read to, so a record of another leader in between could be missed.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/feed/TopicLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/feed/TopicLog.kt
@@ -11,9 +11,12 @@
 
 /** The outcome of a read of a partition. */
 public sealed interface TopicRead {
-    /** Records in offset order; the partition ended before [endOffset]. */
+    /** Records in offset order, maybe not all; the partition ended before [endOffset]. */
     public data class Records(public val records: List<TopicRecord>, public val endOffset: Long) :
-        TopicRead
+        TopicRead {
+        /** The offset from which to read on. */
+        public val nextOffset: Long get() = records.lastOrNull()?.let { it.offset + 1 } ?: endOffset
+    }
 
     /** The log has deleted the record at the offset; the partition now starts at [firstOffset]. */
     public data class AgedOut(public val firstOffset: Long) : TopicRead
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
@@ -147,7 +147,7 @@
         val previousRun = election.newest?.record?.run
         election.observe(
             read.records.mapNotNull { decode(it) },
-            read.endOffset,
+            read.nextOffset,
             clock.monotonicMillis()
         )
         val leader = election.newest
