Read a store anew that returned from an older copy, and drop its late answers

Store-Era, which rises with each return, is now read from all answers. An answer of an earlier era has failed; a feed whose era has ended starts again from the newest values, with the grace period of an outage for servers that write their entries again; records that the leader relays carry their era. An evacuation that the copy lacks ends until the operator writes it again: not covered.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/feed/KeyedFeed.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/feed/KeyedFeed.kt
@@ -42,11 +42,13 @@
  *
  * @property fromOffset the offset of the first of [records].
  * @property ageMillis how long ago the latest read was sent, which found no records after these.
+ * @property era the era of the log in which the records have their offsets.
  */
 public data class RelayedRecords(
     public val fromOffset: Long,
     public val records: List<ByteArray>,
-    public val ageMillis: Long
+    public val ageMillis: Long,
+    public val era: Long
 )
 
 /** Follows [topic]; [parse] splits a record into key and value, null if it is unreadable. */
@@ -73,12 +75,17 @@
     public var offset: Long? = null
         private set
 
+    /** The era of the log in which [offset] is valid. */
+    public var era: Long = 0
+        private set
+
     private val recentRecords = ArrayDeque<TopicRecord>()
     private var relayedReadMillis = Long.MIN_VALUE / 2
 
     /** Follows the topic until the coroutine is cancelled. */
     public suspend fun run() {
         while (true) {
+            if (log.era > era) startEra(log.era)
             val from = offset
             val remainingMillis = relayedReadMillis + RELAY_TTL_MILLIS - clock.monotonicMillis()
             when {
@@ -89,6 +96,15 @@
         }
     }
 
+    private fun startEra(newEra: Long) {
+        DecisionLog.record("feed_refold", "topic" to topic, "offset" to offset, "era" to newEra)
+        era = newEra
+        offset = null
+        recentRecords.clear()
+        // What was lost is written again within the grace period of an outage.
+        listener.onReconnected()
+    }
+
     /** Returns the records from [fromOffset] on, null if that is before or after the kept ones. */
     public fun recordsSince(fromOffset: Long): RelayedRecords? {
         val end = offset ?: return null
@@ -97,12 +113,14 @@
                 recentRecords.firstOrNull()?.let { it.offset <= fromOffset } ?: false
         if (!isKnown || fromOffset > end) return null
         val records = recentRecords.filter { it.offset >= fromOffset }.map { it.bytes }
-        return RelayedRecords(fromOffset, records, clock.monotonicMillis() - currentAsOfMillis)
+        return RelayedRecords(fromOffset, records, clock.monotonicMillis() - currentAsOfMillis, era)
     }
 
     /** Applies those of the leader's records that are new; ignores all of them after a gap. */
     public fun applyRelayed(relayed: RelayedRecords) {
+        if (relayed.era > era) startEra(relayed.era)
         val from = offset ?: return
+        if (relayed.era < era) return
         val end = relayed.fromOffset + relayed.records.size
         if (relayed.fromOffset > from || end < from) return
         val readAtMillis = clock.monotonicMillis() - relayed.ageMillis
@@ -119,6 +137,7 @@
         return when (val read = log.readNewest(topic)) {
             is NewestRead.Values -> {
                 recordSuccess(sentMillis)
+                if (log.era > era) startEra(log.era)
                 listener.onSnapshot(read.values)
                 read.endOffset
             }
@@ -134,8 +153,8 @@
         val sentMillis = clock.monotonicMillis()
         val waitMillis = if (isDisconnected) 0 else timing.waitMillis
         val read = log.read(topic, from, waitMillis)
-        // The leader may have relayed records during the read.
-        if (offset != from) return
+        // The leader may have relayed records during the read, or the log begun a new era.
+        if (offset != from || log.era > era) return
         when (read) {
             is TopicRead.Records -> {
                 recordSuccess(sentMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/feed/TopicLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/feed/TopicLog.kt
@@ -39,6 +39,12 @@
 
 /** The topics of the platform's log. */
 public interface TopicLog {
+    /**
+     * The highest era in any answer of the log. It rises when the log returns from an older copy:
+     * records may be lost since, and their offsets given out again.
+     */
+    public val era: Long
+
     /** Reads [topic] from [fromOffset] on; waits up to [waitMillis] for a record if none exists. */
     public suspend fun read(topic: String, fromOffset: Long, waitMillis: Long): TopicRead
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -25,6 +25,7 @@
      * @property shares the fraction of each client account's rate that this instance uses.
      * @property wantedTokens tokens requested of each client account since the last report.
      * @property backendOffset the offset after the last known record of the backend server list.
+     * @property backendEra the log's era in which [backendOffset] is valid.
      * @property heardMillis the [State.sentMillis] of the newest state applied in [term], null if
      *   there was none.
      * @property promptAnswers requests answered since the last report.
@@ -43,6 +44,7 @@
         public val shares: Map<String, Double>,
         public val wantedTokens: Map<String, Double>,
         public val backendOffset: Long?,
+        public val backendEra: Long = 0,
         public val heardMillis: Long?,
         public val demand: List<ServiceDemand>,
         public val promptAnswers: Int = 0,
@@ -154,12 +156,13 @@
     public val expected: Map<String, Long>
 )
 
-/** Records of the backend server list from [fromOffset] on, as read [ageMillis] ago. */
+/** Records of the list from [fromOffset] on in the log's [era], as read [ageMillis] ago. */
 @Serializable
 public data class BackendNews(
     public val fromOffset: Long,
     public val records: List<RecordBytes>,
-    public val ageMillis: Long
+    public val ageMillis: Long,
+    public val era: Long = 0
 )
 
 /** One record, encoded as a CBOR byte string instead of an array of numbers. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -54,6 +54,7 @@
             shares = shares,
             wantedTokens = state.quota.takeDemand(),
             backendOffset = backends.offset,
+            backendEra = backends.era,
             heardMillis = leaderSentMillis,
             demand = state.takeDemand().map { (service, samples) ->
                 ServiceDemand(
@@ -91,7 +92,14 @@
         state.residency.recordLeaderContact(nowMillis)
         message.backends?.let { news ->
             backends.applyRelayed(
-                RelayedRecords(news.fromOffset, news.records.map { it.bytes }, news.ageMillis)
+                RelayedRecords(
+                    news.fromOffset,
+                    news.records.map {
+                        it.bytes
+                    },
+                    news.ageMillis,
+                    news.era
+                )
             )
         }
         message.engines.forEach { engine ->
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
@@ -27,6 +27,7 @@
     private var isStateDue = false
     private var sentVersion = 0L
     private var sentEndOffset: Long? = null
+    private var sentEra = 0L
 
     /** Sends the instance what has changed since the last state. */
     fun requestState() {
@@ -76,14 +77,17 @@
         val state = controller.stateFor(report.instance, report.number, sentVersion)
             ?: return LeaderMessage.NotLeading
         sentVersion = controller.contentsVersion
-        val fromOffset = listOfNotNull(sentEndOffset, report.backendOffset).maxOrNull()
+        if (sentEra != backends.era) sentEndOffset = null
+        sentEra = backends.era
+        val reportedOffset = report.backendOffset.takeIf { report.backendEra == backends.era }
+        val fromOffset = listOfNotNull(sentEndOffset, reportedOffset).maxOrNull()
         val newRecords = fromOffset?.let { backends.recordsSince(it) }
         if (newRecords != null) sentEndOffset = newRecords.fromOffset + newRecords.records.size
         return state.copy(backends = newRecords?.toMessage())
     }
 
     private fun RelayedRecords.toMessage() =
-        BackendNews(fromOffset, records.map { RecordBytes(it) }, ageMillis)
+        BackendNews(fromOffset, records.map { RecordBytes(it) }, ageMillis, era)
 
     private companion object {
         /** Below the time of an adapter load and its order, which are what waits for a state. */
--- a/instance/src/test/kotlin/mustarddale/instance/serving/KeyedFeedTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/KeyedFeedTest.kt
@@ -26,6 +26,7 @@
     /** Returns the scripted results of reads; further reads never return. */
     private class ScriptedLog(private vararg val results: Any) : TopicLog {
         private val script = ArrayDeque(results.toList())
+        override val era: Long = 0
 
         override suspend fun read(topic: String, fromOffset: Long, waitMillis: Long): TopicRead =
             if (script.firstOrNull() is TopicRead) script.removeFirst() as TopicRead else never()
@@ -120,7 +121,7 @@
     @Test
     fun `records from the leader are applied only without a gap`() {
         fun relayed(from: Long, vararg texts: String) =
-            RelayedRecords(from, texts.map { it.toByteArray() }, ageMillis = 10)
+            RelayedRecords(from, texts.map { it.toByteArray() }, ageMillis = 10, era = 0)
 
         listOf(
             Case("records that follow", relayed(5, "x=2"), listOf("x=2"), 6),
