Make the era of the log part of a leadership's term

The term of a leadership, which fences its orders, was the offset of an append. After a return of the store from an older copy two leaderships could have the same term, and later ones a lower one, which engines refuse. Now the era is the upper part of the term, a leader steps down when it sees a new era, the next one waits for a whole lease from then and counts orders of an unknown leader, and an append of an earlier era that arrives late is ignored. Shares that a lost leadership record named are known again only with the reports of their holders: not covered.

--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
@@ -1,8 +1,10 @@
 /*
  * Elects a leader among equal instances by conditional appends to one partition of the platform's
- * log. The offset of the first record of a leadership is its term and the fencing token of its
- * orders. The leader counts its lease from before it sends a record, the others from when they read
- * the record, so leases never overlap; a delayed append fails its condition.
+ * log. The log's era and the offset of the first record of a leadership make its term, which is the
+ * fencing token of its orders. The leader counts its lease from before it sends a record, the
+ * others from when they read the record, so leases never overlap; a delayed append fails its
+ * condition. When the log returns from an older copy, which begins an era, no leadership outlasts
+ * it, and the next one begins a lease later.
  */
 package mustarddale.serving.leadership
 
@@ -10,7 +12,10 @@
 public data class LeaderLogEntry(public val offset: Long, public val record: LeaderRecord) {
     /** The term of the leadership that the record belongs to. */
     public val term: Long
-        get() = if (record.term == LeaderRecord.UNKNOWN_TERM) offset else record.term
+        get() = when (record.term) {
+            LeaderRecord.UNKNOWN_TERM -> LeaderRecord.termOf(record.era, offset)
+            else -> record.term
+        }
 }
 
 /**
@@ -60,6 +65,14 @@
     private var renewAtMillis = 0L
     private var ownTerm: Long? = null
     private var mustRead = true
+    private var newEraAtMillis = Long.MIN_VALUE
+
+    /** The era of the log, which rises when records may have been lost. */
+    public var era: Long = 0
+        private set
+
+    /** Whether records of the last leaders may have been lost, as none of this era is known. */
+    public val mayLackRecords: Boolean get() = era > (newest?.record?.era ?: 0)
 
     /** The newest known record of the log. */
     public var newest: LeaderLogEntry? = null
@@ -77,13 +90,26 @@
         (nowMillis - logChangedAtMillis - timings.orderWindowMillis - timings.maxClockDriftMillis)
             .coerceAtLeast(0)
 
+    /** Begins [newEra], in which offsets are given out again; no leadership outlasts it. */
+    public fun startEra(newEra: Long, nowMillis: Long) {
+        era = newEra
+        newEraAtMillis = nowMillis
+        logChangedAtMillis = nowMillis
+        newest = null
+        pending = null
+        endOffset = null
+        stepDown()
+    }
+
     /** Processes the result of a read: the new [records] and the offset [end] of the log's end. */
     public fun observe(records: List<LeaderLogEntry>, end: Long, nowMillis: Long) {
         mustRead = false
         readAtMillis = nowMillis
         if (end != endOffset) logChangedAtMillis = nowMillis
         endOffset = end
-        val latest = records.maxByOrNull { it.offset } ?: return
+        // An append that was sent in an earlier era may reach the log after newer records.
+        val latest = records.maxWithOrNull(compareBy({ it.record.era }, { it.offset }))
+            ?.takeIf { it.record.era >= (newest?.record?.era ?: 0) } ?: return
         newest = latest
         val pendingAppend = pending
         if (pendingAppend != null && latest.record == pendingAppend.record) {
@@ -145,9 +171,13 @@
 
     private fun nextWithoutTerm(end: Long, nowMillis: Long): ElectionStep {
         val latest = newest?.record
+        val waitMillis = timings.leaseMillis + timings.maxClockDriftMillis
         val isVacant = latest == null || latest.isResigning || latest.instance == instance
+        if (mayLackRecords && nowMillis < newEraAtMillis + waitMillis) {
+            // A leader whose record is lost may lead until its lease ends.
+            return ElectionStep.Wait(newEraAtMillis + waitMillis)
+        }
         if (!isVacant) {
-            val waitMillis = timings.leaseMillis + timings.maxClockDriftMillis
             val timeoutAtMillis = maxOf(logChangedAtMillis, leaderMessageAtMillis) + waitMillis
             if (nowMillis < timeoutAtMillis) return ElectionStep.Wait(timeoutAtMillis)
             // Without a new record for a whole lease, as seen by a read after it, nobody leads.
--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
@@ -10,11 +10,12 @@
  * @property run identifies the writer's process; a restart changes it.
  * @property host the host at which other instances reach the leader.
  * @property port the port at which other instances reach the leader.
- * @property term the offset of the first record of this leadership; [UNKNOWN_TERM] in that record.
+ * @property term the term of this leadership; [UNKNOWN_TERM] in its first record.
  * @property isResigning whether the writer has stopped leading.
  * @property lastOrder the newest known order to an engine, by the writer or an earlier leader; null
  *   if there is none.
  * @property shareHolders the instances that may hold shares granted in this term or before.
+ * @property era the era of the log in which the record was written.
  */
 @Serializable
 public data class LeaderRecord(
@@ -25,10 +26,16 @@
     public val term: Long = UNKNOWN_TERM,
     public val isResigning: Boolean = false,
     public val lastOrder: LastOrder? = null,
-    public val shareHolders: List<ShareHolder> = emptyList()
+    public val shareHolders: List<ShareHolder> = emptyList(),
+    public val era: Long = 0
 ) {
     public companion object {
         /** The term in the first record of a leadership, whose offset is not known in advance. */
         public const val UNKNOWN_TERM: Long = -1
+
+        private const val OFFSET_BITS = 40
+
+        /** Returns the term whose first record is at [offset] of [era]; terms rise with both. */
+        public fun termOf(era: Long, offset: Long): Long = (era shl OFFSET_BITS) + offset
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
@@ -71,12 +71,14 @@
     /** Returns the term of this instance's leadership, null while it is not the leader. */
     public fun ownTerm(): Long? {
         checkClock()
+        checkEra()
         return election.ownTerm(clock.monotonicMillis())
     }
 
     /** Whether this instance may send orders to engines now. */
     public fun mayOrder(): Boolean {
         checkClock()
+        checkEra()
         return election.mayOrder(clock.monotonicMillis())
     }
 
@@ -105,6 +107,7 @@
     public suspend fun run() {
         while (true) {
             checkClock()
+            checkEra()
             val nowMillis = clock.monotonicMillis()
             when (val step = election.next(nowMillis)) {
                 is ElectionStep.Wait -> pause(step.untilMillis - nowMillis)
@@ -120,26 +123,32 @@
         val term = ownTerm() ?: return
         val endOffset = checkNotNull(election.newest).offset + 1
         val record =
-            fillInRecord(self.copy(term = term, isResigning = true), election.newest?.record)
+            fillInRecord(
+                self.copy(term = term, era = election.era, isResigning = true),
+                election.newest?.record
+            )
         election.stepDown()
         val result = log.appendAt(TOPIC, endOffset, encode(record))
         DecisionLog.record("leader_resigned", "term" to term, "outcome" to result)
     }
 
+    private fun checkEra() {
+        if (log.era == election.era) return
+        DecisionLog.record("leader_era", "before" to election.era, "now" to log.era)
+        election.startEra(log.era, clock.monotonicMillis())
+    }
+
     private suspend fun pause(millis: Long) {
         withTimeoutOrNull(millis.coerceIn(1, MAX_PAUSE_MILLIS)) { wakeups.receive() }
     }
 
     private suspend fun read(offset: Long) {
-        when (val read = log.read(TOPIC, offset, waitMillis = 0)) {
-            is TopicRead.Records -> observe(read)
-
-            is TopicRead.AgedOut -> when (val oldest = log.read(TOPIC, read.firstOffset, 0)) {
-                is TopicRead.Records -> observe(oldest)
-                else -> delay(retryDelayMillis())
-            }
-
-            is TopicRead.Failed -> delay(retryDelayMillis())
+        var read = log.read(TOPIC, offset, waitMillis = 0)
+        if (read is TopicRead.AgedOut) read = log.read(TOPIC, read.firstOffset, 0)
+        when {
+            log.era != election.era -> return
+            read is TopicRead.Records -> observe(read)
+            else -> delay(retryDelayMillis())
         }
     }
 
@@ -163,19 +172,25 @@
 
     private suspend fun append(step: ElectionStep.Append) {
         val predecessor = election.newest?.record
-        val record = fillInRecord(self.copy(term = step.term), predecessor)
+        val record = fillInRecord(self.copy(term = step.term, era = election.era), predecessor)
         val sentMillis = clock.monotonicMillis()
         val orderAgeMillis = election.minOrderAgeMillis(sentMillis)
-        val lastForeignOrder = LastOrder.beforeTakeover(predecessor, self.instance, orderAgeMillis)
+        val lastForeignOrder = if (election.mayLackRecords) {
+            LastOrder(UNKNOWN_INSTANCE, orderAgeMillis)
+        } else {
+            LastOrder.beforeTakeover(predecessor, self.instance, orderAgeMillis)
+        }
         election.appendStarted(record, sentMillis)
-        when (val result = log.appendAt(TOPIC, step.offset, encode(record))) {
+        val result = log.appendAt(TOPIC, step.offset, encode(record))
+        if (log.era != election.era) return
+        when (result) {
             is AppendResult.Appended -> {
                 election.appendSucceeded(record, result.firstOffset, sentMillis)
                 onAppended(record)
                 if (step.term == LeaderRecord.UNKNOWN_TERM) {
                     handleElected(
                         LeadershipTerm(
-                            result.firstOffset,
+                            LeaderRecord.termOf(record.era, result.firstOffset),
                             predecessor,
                             lastForeignOrder,
                             sentMillis
@@ -228,6 +243,9 @@
     private companion object {
         const val TOPIC = "leadership"
 
+        /** In place of the leader whose records are lost. */
+        const val UNKNOWN_INSTANCE = ""
+
         /** Short, so that a crash is detected soon; four renewals fit into it. */
         const val LEASE_MILLIS = 2_000L
         const val RENEWAL_INTERVAL_MILLIS = 500L
