Check blocks of prompts again after a request waited, and bound the analysis of crashes

A request that had waited for its model was sent without a second look at the blocks, which may have come since: engines return empty after a crash, so many requests wait then. Found by reading. The leader also looked at each part of each lost request every 50 ms, without a bound; now at most 4,096 parts, and only those in two requests or more, when two servers were lost.

--- a/core/src/main/kotlin/mustarddale/serving/prompt/CrashAnalyzer.kt
+++ b/core/src/main/kotlin/mustarddale/serving/prompt/CrashAnalyzer.kt
@@ -35,6 +35,7 @@
         if (crash.requests.size >= MAX_SUSPECTS || !crash.requests.add(suspect.request)) return
         if (blocks.any { it.matches(suspect.parts) }) crash.isExplained = true
         suspect.parts.forEach { part ->
+            if (evidenceByPart.size >= MAX_PARTS && part !in evidenceByPart) return@forEach
             val evidence = evidenceByPart.getOrPut(part) { Evidence(answerCount) }
             evidence.serverByRequest[suspect.request] = suspect.server
         }
@@ -50,6 +51,7 @@
     /** Returns the blocks that begin now. */
     public fun blockSuspects(nowMillis: Long): List<NewBlock> {
         dropExpired(nowMillis)
+        if (crashesByServer.size < MIN_CRASHES) return emptyList()
         val newBlocks = ArrayList<NewBlock>()
         while (blocks.size < MAX_BLOCKS) {
             val cause = mostLikelyCause(nowMillis) ?: break
@@ -65,6 +67,7 @@
 
     /** Returns the evidence against the part that is the most likely cause, null if none is. */
     private fun mostLikelyCause(nowMillis: Long): Evidence? = evidenceByPart
+        .filterValues { it.serverByRequest.size >= MIN_CRASHES }
         .filterKeys { part -> blocks.none { it.matches(listOf(part)) } }
         .mapValues { (part, evidence) -> evidence to expectedSoundParts(part, evidence, nowMillis) }
         .values
@@ -116,10 +119,11 @@
     }
 
     private fun dropExpired(nowMillis: Long) {
-        crashesByServer.values.removeIf { nowMillis - it.atMillis >= EVIDENCE_MILLIS }
-        evidenceByPart.values.removeIf { evidence ->
-            evidence.serverByRequest.values.removeIf { it !in crashesByServer }
-            evidence.serverByRequest.isEmpty()
+        if (crashesByServer.values.removeIf { nowMillis - it.atMillis >= EVIDENCE_MILLIS }) {
+            evidenceByPart.values.removeIf { evidence ->
+                evidence.serverByRequest.values.removeIf { it !in crashesByServer }
+                evidence.serverByRequest.isEmpty()
+            }
         }
         blocks.removeIf { nowMillis - it.requestedAtMillis >= FORGET_MILLIS }
     }
@@ -171,6 +175,7 @@
 
         const val MAX_CRASHES = 256
         const val MAX_SUSPECTS = 512
+        const val MAX_PARTS = 4_096
         const val MAX_BLOCKS = 64
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -45,9 +45,10 @@
         }
         state.retryBudgetOf(request.service).recordRequest(clock.monotonicMillis())
         while (true) {
-            val blocked = promptGate.refusal()
-            if (blocked != null) return refuseOrFail(blocked)
+            promptGate.refusal()?.let { return refuseOrFail(it) }
             val chosen = chooseBackend() ?: return
+            // The request may have waited for its model.
+            promptGate.refusal()?.let { return refuseOrFail(it) }
             val isFinal = sendTo(chosen)
             if (isFinal) return
             triedBackendIds += chosen.backend.id
