Repeat a request whose first server was lost, unless several servers were lost lately

The first rule forbade the repeat of each request with a part that this instance had not seen answered for 10 s. With many instances most parts are rarely seen by one, so ordinary crashes would have cost repeats that callers are owed. Now two servers must have been lost within that time.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/PromptGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/PromptGate.kt
@@ -16,7 +16,7 @@
     private val parts = request.head.promptParts
     private var isProbe = false
 
-    /** Whether a server was lost before it answered, and a part of the prompt may be the cause. */
+    /** Whether the request must not be repeated, because it may have crashed a server. */
     var mayHaveCrashedServer: Boolean = false
         private set
 
@@ -42,11 +42,12 @@
 
     /** Records that [server] was lost before it answered. */
     fun recordLost(server: Backend) {
-        mayHaveCrashedServer = !state.promptObservations.areSound(parts)
+        if (parts.isEmpty()) return
         val serverRun = "${server.id}@${server.startUnixMillis}"
         val suspect = CrashSuspect(serverRun, request.head.requestId, parts)
         state.promptObservations.recordSuspect(suspect)
-        if (parts.isNotEmpty()) state.onUrgentDemand()
+        mayHaveCrashedServer = state.promptObservations.areSuspicious(parts)
+        state.onUrgentDemand()
     }
 
     private companion object {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -91,15 +91,9 @@
         effectiveShares.onLeaderMessage(nowMillis)
         state.residency.recordLeaderContact(nowMillis)
         message.backends?.let { news ->
+            val records = news.records.map { it.bytes }
             backends.applyRelayed(
-                RelayedRecords(
-                    news.fromOffset,
-                    news.records.map {
-                        it.bytes
-                    },
-                    news.ageMillis,
-                    news.era
-                )
+                RelayedRecords(news.fromOffset, records, news.ageMillis, news.era)
             )
         }
         message.engines.forEach { engine ->
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/PromptObservations.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/PromptObservations.kt
@@ -42,10 +42,15 @@
         if (suspects.size > MAX_SUSPECTS) suspects.removeFirst()
     }
 
-    /** Whether each of [parts] was answered lately, so that none of them crashes servers. */
-    public fun areSound(parts: List<String>): Boolean {
-        val sinceMillis = clock.monotonicMillis() - SOUND_MILLIS
-        return parts.all { (answeredAtMillis[it] ?: Long.MIN_VALUE) >= sinceMillis }
+    /**
+     * Whether one of [parts] may crash servers: several were lost lately, and since the same time
+     * no request with the part was answered here.
+     */
+    public fun areSuspicious(parts: List<String>): Boolean {
+        val sinceMillis = clock.monotonicMillis() - SUSPICION_MILLIS
+        val lostServers = suspects.filter { it.first >= sinceMillis }.map { it.second.server }
+        val hasUnanswered = parts.any { (answeredAtMillis[it] ?: Long.MIN_VALUE) < sinceMillis }
+        return hasUnanswered && lostServers.distinct().size >= MIN_LOST_SERVERS
     }
 
     /** Returns the answers since the last call. */
@@ -75,6 +80,9 @@
         const val SUSPECT_TTL_MILLIS = 30_000L
 
         /** Longer than the usual time between two requests with a shared part. */
-        const val SOUND_MILLIS = 10_000L
+        const val SUSPICION_MILLIS = 10_000L
+
+        /** A single server is lost for other reasons more often than not. */
+        const val MIN_LOST_SERVERS = 2
     }
 }
