Log the limits that servers name in their responses

An engine in need names how many requests a second it takes from all instances together. Each change of what a server's responses say is one line, server_limit. No decision changes.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -184,7 +184,11 @@
             is SendResult.NotRun -> {
                 mayBeRunning = false
                 result.head.load?.let { load.report(it, nowMillis) }
-                if (result.isMisdirected) request.head.model?.let { state.markAbsent(backend, it) }
+                if (result.isMisdirected) {
+                    request.head.model?.let { state.markAbsent(backend, it) }
+                } else {
+                    state.recordLimit(backend, result.head.limit)
+                }
                 AttemptResult(RequestOutcome.REFUSED, isFinal = false)
             }
 
@@ -197,6 +201,7 @@
             is SendResult.Responded -> {
                 possibleExecutions++
                 result.head.load?.let { load.report(it, nowMillis) }
+                state.recordLimit(backend, result.head.limit)
                 handleResponse(backend, load, result, nowMillis)
             }
         }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
@@ -10,6 +10,7 @@
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.ModelRef
 import mustarddale.serving.backend.ReportedLoad
+import mustarddale.serving.limit.LimitSignal
 
 /**
  * The decoded head of a caller's request.
@@ -67,8 +68,17 @@
     FOREIGN
 }
 
-/** The decoded head of a backend server's response; [load] is null if it reports none. */
-public data class ResponseHead(public val kind: ResponseKind, public val load: ReportedLoad?)
+/**
+ * The decoded head of a backend server's response.
+ *
+ * @property load the reported load, null if there is none.
+ * @property limit what it says of the requests that the server accepts.
+ */
+public data class ResponseHead(
+    public val kind: ResponseKind,
+    public val load: ReportedLoad?,
+    public val limit: LimitSignal
+)
 
 /** The HTTP headers of one platform. */
 public interface ServingProtocol {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -17,6 +17,7 @@
 import mustarddale.serving.backend.ModelRef
 import mustarddale.serving.config.RouteTable
 import mustarddale.serving.config.ServingConfiguration
+import mustarddale.serving.limit.LimitSignal
 import mustarddale.serving.quota.AccountQuota
 import mustarddale.serving.residency.DemandSample
 import mustarddale.serving.retry.RetryBudget
@@ -26,6 +27,7 @@
 public class ServingState(public var settings: ServingSettings, private val clock: Clock) {
     private val loadsByBackend = HashMap<String, BackendLoad>()
     private val retryBudgets = HashMap<String, RetryBudget>()
+    private val limitSignals = HashMap<String, LimitSignal>()
     private val demandByModel = HashMap<ServiceModel, DemandCounter>()
 
     /** All known backend servers. */
@@ -117,6 +119,7 @@
 
             is BackendChange.Removed -> {
                 loadsByBackend.remove(change.backend.id)
+                limitSignals.remove(change.backend.id)
                 residency.removeEngine(change.backend.id)
                 logBackendChange("backend_gone", change.backend)
             }
@@ -228,6 +231,18 @@
         residency.markAbsent(backend.id, requestedModel, clock.monotonicMillis())
     }
 
+    /** Records what a response of [backend] says of the requests that it accepts. */
+    public fun recordLimit(backend: Backend, signal: LimitSignal) {
+        val before = limitSignals.put(backend.id, signal) ?: LimitSignal.Unlimited
+        if (signal == before) return
+        DecisionLog.record(
+            "server_limit",
+            "backend" to backend.id,
+            "limit" to signal,
+            "before" to before
+        )
+    }
+
     private class DemandCounter {
         var requests = 0
         var tokens = 0.0
