Pace requests to servers that set a limit, over all instances together

Cause: nothing read the limit, so each of nine instances sent as to any server. Class: a limit of one server enforced by what one instance sees. Dividing it does not help: 4.3 a second are 0.07 for each of 61 instances, and the sum of their buckets of one request each is twice the bound.

Change: limits are state of the fleet. Instances report what responses say (LimitView), the leader merges it (LimitRegistry) and sends it to all. The leader permits each request (RequestPacer, next to the limit for cold servers, one message for both): a permit may be up to 500 ms ahead, less for less urgent requests, and refused instances are spread over their returns. Without a leader the instances take turns in slots by the clock and in the order of the last leader (PermitRotation). A higher limit, or the end of one, counts only in response to a request that was sent after the newest revision of the limit was known, because responses overtake each other. A server that accepts nothing gets a request every 5 s, since only its response can end the limit. A request without a permit goes to another server with the model, or is refused with the time until there may be one. A new leader takes the limits from the reports and waits until the permits of its predecessor have expired. Permits of an instance that stands still expire.

--- a/core/src/main/kotlin/mustarddale/serving/backend/Backend.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/Backend.kt
@@ -44,6 +44,9 @@
         return wanted.adapter == null || wanted.adapter in adapters
     }
 
+    /** Identifies this run of the server, as [isSameRun] does. */
+    public val run: String get() = "$id@$address@$startUnixMillis"
+
     /** Whether [other] describes the same run of the same server, possibly in another state. */
     public fun isSameRun(other: Backend): Boolean =
         id == other.id && startUnixMillis == other.startUnixMillis && address == other.address
--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
@@ -30,7 +30,8 @@
     private var successiveLosses = 0
     private var suspectedUntilMillis = 0L
     private var coldUntilMillis = 0L
-    private var nextColdSendMillis = 0L
+    private var nextPermitMillis = 0L
+    private var permitRefusedPriority = 0
 
     /** The number of this instance's requests that are in flight to the server. */
     public var inFlight: Int = 0
@@ -77,13 +78,28 @@
         coldUntilMillis = maxOf(coldUntilMillis, nowMillis + millis)
     }
 
-    /** Records that the leader has no permit for this server before [untilMillis]. */
-    public fun deferColdSends(untilMillis: Long) {
-        nextColdSendMillis = untilMillis
+    /**
+     * Records that there is no permit for a request of [priority] to this server before
+     * [untilMillis]; requests with a lower number are more urgent and may still get one.
+     */
+    public fun deferPermits(untilMillis: Long, priority: Int, nowMillis: Long) {
+        if (!mayRequestPermit(priority, nowMillis)) return
+        nextPermitMillis = untilMillis
+        permitRefusedPriority = priority
     }
 
-    /** Whether the server can handle only a few requests and the leader may have a permit. */
-    public fun mayRequestColdPermit(nowMillis: Long): Boolean = nowMillis >= nextColdSendMillis
+    /** Records that there may be permits again, because the server accepts more requests. */
+    public fun resumePermits() {
+        nextPermitMillis = 0
+    }
+
+    /** Whether there may be a permit for a request of [priority] to this server. */
+    public fun mayRequestPermit(priority: Int, nowMillis: Long): Boolean =
+        nowMillis >= nextPermitMillis || priority < permitRefusedPriority
+
+    /** Returns the milliseconds until there may be permits for all requests to this server. */
+    public fun permitWaitMillis(nowMillis: Long): Long =
+        (nextPermitMillis - nowMillis).coerceAtLeast(0)
 
     /** Whether the last requests were lost, so that only one at a time should probe the server. */
     public fun isSuspected(nowMillis: Long): Boolean =
--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendSelector.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendSelector.kt
@@ -11,11 +11,14 @@
  * A backend server that may run the request.
  *
  * @property isColdLimited whether a request to the server needs a permit while the server is cold.
+ * @property requestsPerSecond the limit of requests of all instances that the server has set, with
+ *   which each request needs a permit; null for no limit.
  */
 public data class Candidate(
     public val backend: Backend,
     public val load: BackendLoad,
-    public val isColdLimited: Boolean
+    public val isColdLimited: Boolean,
+    public val requestsPerSecond: Double? = null
 )
 
 /** The result of a selection. */
@@ -28,14 +31,20 @@
      * @property holderCount the number of servers that hold the model, available or not.
      * @property needsColdPermit whether the server is cold, so that the leader has to permit the
      *   request.
+     * @property requestsPerSecond the limit that the server has set, with which the request needs a
+     *   permit; null for no limit.
      */
     public data class Selected(
         public val backend: Backend,
         public val cost: Double,
         public val availableCount: Int,
         public val holderCount: Int,
-        public val needsColdPermit: Boolean
-    ) : BackendSelection
+        public val needsColdPermit: Boolean,
+        public val requestsPerSecond: Double?
+    ) : BackendSelection {
+        /** Whether the request may be sent only with a permit. */
+        public val needsPermit: Boolean get() = needsColdPermit || requestsPerSecond != null
+    }
 
     /** The service has no server that accepts requests. */
     public data object NoBackend : BackendSelection
@@ -43,7 +52,7 @@
     /** The service has servers, but none holds the model. */
     public data object NotResident : BackendSelection
 
-    /** Every server with the model is full, cold, suspected to be down or excluded. */
+    /** Every server with the model is full, cold, limited, suspected to be down or excluded. */
     public data object NoCapacity : BackendSelection
 }
 
@@ -55,18 +64,22 @@
      * @param wanted the requested model, null if the service is not a model service.
      * @param excluded the IDs of servers that this request has already been sent to.
      * @param homeDomain the failure domain of this instance.
+     * @param priority the priority of the request, 0 for the most urgent.
      */
     public fun select(
         candidates: List<Candidate>,
         wanted: ModelRef?,
         excluded: Set<String>,
         homeDomain: String,
+        priority: Int,
         nowMillis: Long
     ): BackendSelection {
         if (candidates.isEmpty()) return BackendSelection.NoBackend
         val holders = candidates.filter { wanted == null || it.backend.holds(wanted) }
         if (holders.isEmpty()) return BackendSelection.NotResident
-        val available = holders.filter { it.backend.id !in excluded && it.hasCapacity(nowMillis) }
+        val available = holders.filter {
+            it.backend.id !in excluded && it.hasCapacity(priority, nowMillis)
+        }
         val healthy = available.filter { !it.load.isSuspected(nowMillis) }
         val idle = available.filter { it.load.inFlight == 0 }
         val usable = healthy.ifEmpty { idle }
@@ -77,13 +90,15 @@
             cost,
             usable.size,
             holders.size,
-            best.needsColdPermit(nowMillis)
+            best.needsColdPermit(nowMillis),
+            best.requestsPerSecond
         )
     }
 
-    private fun Candidate.hasCapacity(nowMillis: Long): Boolean {
+    private fun Candidate.hasCapacity(priority: Int, nowMillis: Long): Boolean {
         if (load.loadPerSlot(nowMillis) >= MAX_LOAD_PER_SLOT) return false
-        return !needsColdPermit(nowMillis) || load.mayRequestColdPermit(nowMillis)
+        val needsPermit = requestsPerSecond != null || needsColdPermit(nowMillis)
+        return !needsPermit || load.mayRequestPermit(priority, nowMillis)
     }
 
     private fun Candidate.needsColdPermit(nowMillis: Long): Boolean =
--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
@@ -79,6 +79,10 @@
     /** The number of instances that may hold shares. */
     public val holderCount: Int get() = (holdings.keys + unreportedHolders.keys).size
 
+    /** Returns how many of these instances have a name that is before [instance] in order. */
+    public fun rankOf(instance: String): Int =
+        (holdings.keys + unreportedHolders.keys).count { it < instance }
+
     /** Returns the holders to record for the next leader, with headroom for the next grants. */
     public fun holders(nowMillis: Long): List<ShareHolder> {
         val accounts = holdings.values.flatMapTo(HashSet()) { it.demand.keys + it.accounts }
--- a/core/src/test/kotlin/mustarddale/serving/backend/BackendSelectorTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/backend/BackendSelectorTest.kt
@@ -62,7 +62,7 @@
                 listOf(
                     candidate("x") {
                         setCold(3_000, nowMillis)
-                        deferColdSends(nowMillis + 1)
+                        deferPermits(nowMillis + 1, PRIORITY, nowMillis)
                     }
                 ),
                 model,
@@ -73,7 +73,7 @@
                 listOf(
                     candidate("x") {
                         setCold(3_000, nowMillis)
-                        deferColdSends(nowMillis)
+                        deferPermits(nowMillis, PRIORITY, nowMillis)
                     }
                 ),
                 model,
@@ -126,7 +126,7 @@
     private fun check(cases: List<Case>) {
         cases.forEach { case ->
             val result =
-                selector.select(case.candidates, case.wanted, emptySet(), "a", nowMillis)
+                selector.select(case.candidates, case.wanted, emptySet(), "a", PRIORITY, nowMillis)
             val actual =
                 if (result is BackendSelection.Selected) result.backend.id else result.toString()
             assertEquals(case.expected, actual, case.name)
@@ -135,7 +135,18 @@
 
     @Test
     fun `a request is not sent again to a server that refused it`() {
-        val result = selector.select(listOf(candidate("x")), null, setOf("x"), "a", nowMillis)
+        val result = selector.select(
+            listOf(candidate("x")),
+            null,
+            setOf("x"),
+            "a",
+            PRIORITY,
+            nowMillis
+        )
         assertEquals(BackendSelection.NoCapacity, result)
     }
+
+    private companion object {
+        const val PRIORITY = 3
+    }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -190,6 +190,7 @@
         Metrics.gauge("mustarddale.requests.open", callerService) { it.openRequests.toDouble() }
         Metrics.gauge("mustarddale.backends", state) { it.directory.backends.size.toDouble() }
         Metrics.gauge("mustarddale.instances", state) { (it.instanceCount ?: 0).toDouble() }
+        Metrics.gauge("mustarddale.server.limits", state) { it.limits.size.toDouble() }
         Metrics.gauge("mustarddale.prompt.blocks", state) { it.promptBlocks.size.toDouble() }
         server.start().join()
         scope.launch { feeds.operators.run() }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/PromptGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/PromptGate.kt
@@ -43,8 +43,7 @@
     /** Records that [server] was lost before it answered. */
     fun recordLost(server: Backend) {
         if (parts.isEmpty()) return
-        val serverRun = "${server.id}@${server.startUnixMillis}"
-        val suspect = CrashSuspect(serverRun, request.head.requestId, parts)
+        val suspect = CrashSuspect(server.run, request.head.requestId, parts)
         state.promptObservations.recordSuspect(suspect)
         mayHaveCrashedServer = state.promptObservations.areSuspicious(parts)
         state.onUrgentDemand()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -37,6 +37,7 @@
     private val promptGate = PromptGate(request, state, loans)
     private val relay = ResponseRelay(request, writer, protocol, promptGate::recordAnswer)
     private val requestLog = RequestLog(request, state.configuration?.version, clock)
+    private val permitGate = PermitGate(request, state, loans, requestLog, clock)
 
     /** Tries servers in turn until the caller has a complete response, a refusal or an abort. */
     suspend fun run() {
@@ -65,11 +66,12 @@
                 requestedModel,
                 triedBackendIds,
                 localDomain,
+                request.priority,
                 nowMillis
             )
             when (selection) {
                 is BackendSelection.Selected -> {
-                    if (selection.needsColdPermit && !obtainColdPermit(selection.backend)) continue
+                    if (selection.needsPermit && !permitGate.obtain(selection)) continue
                     if (requestLog.reachedBackends == 0 || mayRetry(nowMillis)) return selection
                     refuseOrFail("the retry budget of the service is exhausted")
                     return null
@@ -78,8 +80,11 @@
                 BackendSelection.NotResident -> if (!awaitModel(nowMillis)) return null
 
                 BackendSelection.NoCapacity -> {
+                    val permitWaitMillis = permitGate.waitMillis(candidates, nowMillis)
                     refuseOrFail(
-                        "servers for ${requestedModel ?: "the service"} are full, cold or failing"
+                        "servers for ${requestedModel ?: "the service"} are full, cold, limited " +
+                            "or failing",
+                        permitWaitMillis?.let { it + jitterMillis(RETRY_JITTER_MILLIS) }
                     )
                     return null
                 }
@@ -92,16 +97,6 @@
         }
     }
 
-    /** Obtains a permit to send the request to the cold [server]; false if it cannot be sent. */
-    private suspend fun obtainColdPermit(server: Backend): Boolean {
-        val load = state.loadOf(server)
-        val waitMillis = loans.borrowColdPermit(server)
-        if (waitMillis == 0L) return state.acceptsRequests(server)
-        load.deferColdSends(clock.monotonicMillis() + (waitMillis ?: NO_LEADER_WAIT_MILLIS))
-        requestLog.logColdPermitRefused(server, waitMillis)
-        return false
-    }
-
     private fun mayRetry(nowMillis: Long): Boolean =
         state.retryBudgetOf(request.service).tryAcquire(state.instanceCount, nowMillis)
 
@@ -159,7 +154,7 @@
             val sendResult =
                 backendClient.send(backend.address, request.head.requestId, headers, request.body)
             requestLog.logAttempt(chosen, reportedLoadAgeMillis, sendResult, sentMillis)
-            val result = handleResult(backend, load, sendResult)
+            val result = handleResult(backend, load, sendResult, sentMillis)
             outcome = result.outcome
             return result.isFinal
         } finally {
@@ -172,7 +167,8 @@
     private suspend fun handleResult(
         backend: Backend,
         load: BackendLoad,
-        result: SendResult
+        result: SendResult,
+        sentMillis: Long
     ): AttemptResult {
         val nowMillis = clock.monotonicMillis()
         return when (result) {
@@ -187,7 +183,7 @@
                 if (result.isMisdirected) {
                     request.head.model?.let { state.markAbsent(backend, it) }
                 } else {
-                    state.recordLimit(backend, result.head.limit)
+                    state.limits.record(backend, result.head.limit, sentMillis)
                 }
                 AttemptResult(RequestOutcome.REFUSED, isFinal = false)
             }
@@ -201,7 +197,7 @@
             is SendResult.Responded -> {
                 possibleExecutions++
                 result.head.load?.let { load.report(it, nowMillis) }
-                state.recordLimit(backend, result.head.limit)
+                state.limits.record(backend, result.head.limit, sentMillis)
                 handleResponse(backend, load, result, nowMillis)
             }
         }
@@ -311,9 +307,6 @@
         /** Above the failure rate of healthy servers, 0.14 for one kind of request. */
         const val RETRY_FAILURE_SCORE = 0.25
 
-        /** How long cold servers are avoided after the leader did not answer. */
-        const val NO_LEADER_WAIT_MILLIS = 250L
-
         /** Bounds the memory of waiting requests, which take a few kilobytes each. */
         const val MAX_MODEL_WAITERS = 500
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit
 import mustarddale.instance.http.BodyFraming
 import mustarddale.instance.serving.DecisionLog
-import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendSelection
 import mustarddale.time.Clock
 
@@ -59,16 +58,17 @@
     }
 
     /**
-     * Logs that the leader gave no permit for a request to the cold [server] for [waitMillis], null
-     * if it did not answer.
+     * Logs that there is no permit for a request to the server [target] for [waitMillis], null if
+     * the leader did not answer.
      */
-    fun logColdPermitRefused(server: Backend, waitMillis: Long?) {
+    fun logPermitRefused(target: BackendSelection.Selected, waitMillis: Long?) {
         DecisionLog.recordRequest(
-            "cold_permit_refused",
+            if (target.needsColdPermit) "cold_permit_refused" else "permit_refused",
             request.head.requestId,
             isSuccess = false,
-            "backend" to server.id,
+            "backend" to target.backend.id,
             "service" to request.service,
+            "requestsPerSecond" to target.requestsPerSecond,
             "waitMillis" to (waitMillis ?: "no leader answered")
         )
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
@@ -88,7 +88,7 @@
     }
 
     private fun requestLoan(request: LeaderMessage.LoanRequest): Boolean {
-        val answer = controller.lend(request)
+        val answer = controller.lend(self.instance, request)
         if (answer != null) {
             loans.handleAnswer(answer)
             return true
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -1,6 +1,6 @@
 /*
  * The leader's work: shares of client accounts' rates (ShareController), permits for requests to
- * cold backend servers (ColdStartLimiter), and models and adapters on engines
+ * cold and limited backend servers (PermitController), and models and adapters on engines
  * (PlacementController). All its state can be rebuilt from the reports of instances and engines, so
  * a new leader needs only the last leadership record. Runs on the event loop.
  */
@@ -12,7 +12,6 @@
 import kotlinx.coroutines.launch
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.state.ServingState
-import mustarddale.serving.backend.ColdStartLimiter
 import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.prompt.CrashAnalyzer
@@ -56,6 +55,7 @@
         current.shares.handleReport(report, nowMillis)
         current.placement.handleReport(report, nowMillis)
         current.handlePromptReport(report, nowMillis)
+        if (current.permits.handleReport(report)) onStateChanged()
         return true
     }
 
@@ -83,31 +83,22 @@
             shareLeaseMillis = ShareController.SHARE_LEASE_MILLIS,
             instances = current.shares.holderCount,
             engines = current.contents.changesSince(seenVersion, nowMillis),
-            promptBlocks = current.crashes.blocks(nowMillis)
+            promptBlocks = current.crashes.blocks(nowMillis),
+            serverLimits = current.permits.limits,
+            rank = current.shares.rankOf(member)
         )
     }
 
-    /** Grants or refuses [request]; null if this instance is not the leader. */
-    public fun lend(request: LeaderMessage.LoanRequest): LeaderMessage.LoanAnswer? {
+    /** Grants or refuses [request] of [member]; null if this instance is not the leader. */
+    public fun lend(member: String, request: LeaderMessage.LoanRequest): LeaderMessage.LoanAnswer? {
         val current = activeTerm() ?: return null
         return when (request) {
             is LeaderMessage.TokensWanted -> current.shares.lend(request)
-            is LeaderMessage.ColdPermitWanted -> lendColdPermit(current, request)
+            is LeaderMessage.PermitWanted -> current.permits.lend(member, request)
             is LeaderMessage.ProbeWanted -> lendProbe(current, request)
         }
     }
 
-    private fun lendColdPermit(
-        current: TermWork,
-        request: LeaderMessage.ColdPermitWanted
-    ): LeaderMessage.LoanAnswer {
-        val limit = state.configuration?.services?.get(request.service)?.coldRequestsPerSecond
-        val waitMillis = limit?.let {
-            current.coldStarts.request(request.backend, it, clock.monotonicMillis())
-        }
-        return LeaderMessage.LoanAnswer(request.number, waitMillis ?: 0)
-    }
-
     private fun lendProbe(
         current: TermWork,
         request: LeaderMessage.ProbeWanted
@@ -145,7 +136,7 @@
 
     private inner class TermWork(val leadership: LeadershipTerm) {
         val contents = EngineContentsRegistry { onStateChanged() }
-        val coldStarts = ColdStartLimiter(leadership.sinceMillis)
+        val permits = PermitController(leadership, state, clock)
         val crashes = CrashAnalyzer()
         private val blockInterval = MinInterval(BLOCK_INTERVAL_MILLIS)
         val shares = ShareController(leadership, state, clock) { onStateChanged() }
@@ -204,6 +195,7 @@
             val nowMillis = clock.monotonicMillis()
             blockPrompts(nowMillis)
             shares.tick(nowMillis)
+            permits.tick()
             placement.tick(nowMillis)
         }
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLoans.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLoans.kt
@@ -1,19 +1,21 @@
 /*
- * Requests from the leader what this instance has no share of: tokens of client accounts, and
- * permits for requests to cold backend servers. The leader counts a loan before it answers, so a
- * lost answer loses the loan but never creates one. Runs on the event loop.
+ * Requests from the leader what this instance has no share of: tokens of client accounts, permits
+ * for requests to cold and limited backend servers, and probes of blocked prompts. The leader
+ * counts a loan before it answers, so a lost answer loses the loan but never creates one. Runs on
+ * the event loop.
  */
 package mustarddale.instance.serving.leader
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
-import mustarddale.serving.backend.Backend
-import mustarddale.serving.backend.ColdStartLimiter
+import mustarddale.serving.backend.BackendSelection
+import mustarddale.serving.limit.RequestPacer
+import mustarddale.serving.limit.SendPermit
 import mustarddale.time.Clock
 
 /** Borrows tokens and permits from the leader; sends requests by [send]. */
 public class LeaderLoans(private val clock: Clock) {
-    private val pendingRequests = HashMap<Long, CompletableDeferred<Long>>()
+    private val pendingRequests = HashMap<Long, CompletableDeferred<LeaderMessage.LoanAnswer>>()
     private val poolEmptyUntilMillis = HashMap<String, Long>()
     private var lastNumber = 0L
 
@@ -30,7 +32,7 @@
         if (nowMillis < emptyUntilMillis) return emptyUntilMillis - nowMillis
         val waitMillis = request(TOKEN_TIMEOUT_MILLIS) {
             LeaderMessage.TokensWanted(it, account, tokens)
-        } ?: return null
+        }?.waitMillis ?: return null
         if (waitMillis > 0) {
             val untilMillis =
                 clock.monotonicMillis() + waitMillis.coerceAtMost(MAX_POOL_EMPTY_MILLIS)
@@ -40,17 +42,32 @@
     }
 
     /**
-     * Requests a permit for one request to the cold [server], to be sent at once; returns 0 if it
-     * was granted, else the milliseconds until the next one is available, or null if the leader
-     * gave no answer in time.
+     * Requests a permit for one request to the server [target], which the request can await for
+     * [maxDelayMillis]; null if the leader gave no answer in time.
      */
-    public suspend fun borrowColdPermit(server: Backend): Long? {
+    public suspend fun borrowPermit(
+        target: BackendSelection.Selected,
+        maxDelayMillis: Long
+    ): SendPermit? {
+        val server = target.backend
         val sentMillis = clock.monotonicMillis()
-        val waitMillis = request(ColdStartLimiter.PERMIT_LIFETIME_MILLIS) {
-            LeaderMessage.ColdPermitWanted(it, server.service, server.id)
+        val answer = request(RequestPacer.PERMIT_LIFETIME_MILLIS) {
+            LeaderMessage.PermitWanted(
+                number = it,
+                service = server.service,
+                backend = server.id,
+                run = server.run,
+                isCold = target.needsColdPermit,
+                requestsPerSecond = target.requestsPerSecond,
+                maxDelayMillis = maxDelayMillis
+            )
         }
         val ageMillis = clock.monotonicMillis() - sentMillis
-        return waitMillis?.takeIf { ageMillis < ColdStartLimiter.PERMIT_LIFETIME_MILLIS }
+        return when {
+            answer == null || ageMillis >= RequestPacer.PERMIT_LIFETIME_MILLIS -> null
+            answer.waitMillis > 0 -> SendPermit.Refused(answer.waitMillis)
+            else -> SendPermit.Granted((answer.delayMillis - ageMillis).coerceAtLeast(0))
+        }
     }
 
     /**
@@ -59,15 +76,15 @@
      * gave no answer.
      */
     public suspend fun borrowProbe(parts: List<String>): Long? =
-        request(TOKEN_TIMEOUT_MILLIS) { LeaderMessage.ProbeWanted(it, parts) }
+        request(TOKEN_TIMEOUT_MILLIS) { LeaderMessage.ProbeWanted(it, parts) }?.waitMillis
 
     private suspend fun request(
         timeoutMillis: Long,
         message: (Long) -> LeaderMessage.LoanRequest
-    ): Long? {
+    ): LeaderMessage.LoanAnswer? {
         lastNumber++
         val number = lastNumber
-        val answer = CompletableDeferred<Long>()
+        val answer = CompletableDeferred<LeaderMessage.LoanAnswer>()
         pendingRequests[number] = answer
         try {
             if (!send(message(number))) return null
@@ -79,7 +96,7 @@
 
     /** Passes the leader's answer to the waiting call, if it has not timed out. */
     public fun handleAnswer(message: LeaderMessage.LoanAnswer) {
-        pendingRequests.remove(message.number)?.complete(message.waitMillis)
+        pendingRequests.remove(message.number)?.complete(message)
     }
 
     private companion object {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -9,6 +9,8 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import mustarddale.serving.limit.LimitObservation
+import mustarddale.serving.limit.ServerLimit
 import mustarddale.serving.prompt.CrashSuspect
 import mustarddale.serving.prompt.PromptBlock
 
@@ -32,6 +34,8 @@
      * @property answeredParts the parts of their prompts.
      * @property crashSuspects requests that were unanswered when their server was lost.
      * @property promptBlocks the blocks that this instance knows of.
+     * @property serverLimits the limits that servers have set, as this instance knows them.
+     * @property limitObservations what it has learned of them since the last report.
      */
     @Serializable
     @SerialName("report")
@@ -50,7 +54,9 @@
         public val promptAnswers: Int = 0,
         public val answeredParts: Set<String> = emptySet(),
         public val crashSuspects: List<CrashSuspect> = emptyList(),
-        public val promptBlocks: List<PromptBlock> = emptyList()
+        public val promptBlocks: List<PromptBlock> = emptyList(),
+        public val serverLimits: List<ServerLimit> = emptyList(),
+        public val limitObservations: List<LimitObservation> = emptyList()
     ) : LeaderMessage
 
     /**
@@ -65,6 +71,8 @@
      * @property engines the engines whose contents have changed since the last message.
      * @property backends new records of the backend server list.
      * @property promptBlocks all blocks of requests by parts of their prompts.
+     * @property serverLimits all limits that servers have set.
+     * @property rank the place of the instance among [instances] if there is no leader to ask.
      */
     @Serializable
     @SerialName("state")
@@ -79,7 +87,9 @@
         public val instances: Int,
         public val engines: List<EngineContents>,
         public val backends: BackendNews? = null,
-        public val promptBlocks: List<PromptBlock> = emptyList()
+        public val promptBlocks: List<PromptBlock> = emptyList(),
+        public val serverLimits: List<ServerLimit> = emptyList(),
+        public val rank: Int = 0
     ) : LeaderMessage
 
     /** An instance's request for something that only the leader can grant. */
@@ -98,13 +108,24 @@
         public val tokens: Double
     ) : LoanRequest
 
-    /** A request for a permit to send one request to the cold server [backend] of [service]. */
+    /**
+     * A request for a permit to send one request to the server [backend] of [service].
+     *
+     * @property run the run of the server.
+     * @property isCold whether the server is cold, so that the limit for cold servers applies.
+     * @property requestsPerSecond the limit that the server itself has set, null for none.
+     * @property maxDelayMillis how long the request can wait for its permit.
+     */
     @Serializable
-    @SerialName("cold-permit-wanted")
-    public data class ColdPermitWanted(
+    @SerialName("permit-wanted")
+    public data class PermitWanted(
         override val number: Long,
         public val service: String,
-        public val backend: String
+        public val backend: String,
+        public val run: String,
+        public val isCold: Boolean,
+        public val requestsPerSecond: Double?,
+        public val maxDelayMillis: Long
     ) : LoanRequest
 
     /** A request for a permit to send one blocked request, whose prompt has [parts]. */
@@ -113,11 +134,18 @@
     public data class ProbeWanted(override val number: Long, public val parts: List<String>) :
         LoanRequest
 
-    /** Grants the [LoanRequest] with [number] if [waitMillis] is 0, else says when to ask again. */
+    /**
+     * Grants the [LoanRequest] with [number] if [waitMillis] is 0, else says when to ask again.
+     *
+     * @property delayMillis the time until a granted permit becomes valid.
+     */
     @Serializable
     @SerialName("loan-answer")
-    public data class LoanAnswer(public val number: Long, public val waitMillis: Long) :
-        LeaderMessage
+    public data class LoanAnswer(
+        public val number: Long,
+        public val waitMillis: Long,
+        public val delayMillis: Long = 0
+    ) : LeaderMessage
 
     /** Tells an instance that the sender is not the leader. */
     @Serializable
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -8,6 +8,7 @@
 import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.feed.RelayedRecords
 import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.limit.RotationPlace
 import mustarddale.serving.quota.EffectiveShares
 import mustarddale.time.Clock
 
@@ -73,7 +74,9 @@
             promptAnswers = answers.requests,
             answeredParts = answers.parts,
             crashSuspects = state.promptObservations.takeSuspects(),
-            promptBlocks = state.promptBlocks.current()
+            promptBlocks = state.promptBlocks.current(),
+            serverLimits = state.limits.known(),
+            limitObservations = state.limits.takeObservations()
         )
     }
 
@@ -81,8 +84,10 @@
     public fun apply(message: LeaderMessage.State) {
         if (message.term < term) return
         val nowMillis = clock.monotonicMillis()
-        if (message.term > term) {
+        val isNewLeader = message.term > term
+        if (isNewLeader) {
             state.residency.clear()
+            state.limits.forgetLeader()
             term = message.term
             sharesRevision = 0
             state.promptObservations.forgetReports()
@@ -102,6 +107,13 @@
         }
         state.promptBlocks.update(message.promptBlocks)
         state.instanceCount = message.instances.coerceAtLeast(1)
+        state.limits.update(message.serverLimits, sentMillis[message.answers])
+        state.limits.rotation.onLeaderMessage(
+            RotationPlace(message.rank, message.instances.coerceAtLeast(1)),
+            message.sentMillis,
+            isNewLeader,
+            nowMillis
+        )
         applyShares(message, nowMillis)
         if (message.engines.isNotEmpty()) state.wakeModelWaiters()
     }
@@ -143,6 +155,7 @@
         val sharesInForce = effectiveShares.compute(shares, shareTotal, nowMillis)
         if (effectiveShares.isLeaderless && !wasLeaderless) {
             DecisionLog.record("shares_without_leader", "term" to term, "total" to shareTotal)
+            state.limits.rotation.onLeaderLost(nowMillis)
         }
         state.quota.setShares(sharesInForce, accounts, nowMillis)
         if (sharesInForce.isNotEmpty() && state.configuration != null) state.startupGate.open()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
@@ -45,7 +45,8 @@
             }
 
             is LeaderMessage.LoanRequest -> {
-                answers.addLast(controller.lend(message) ?: LeaderMessage.NotLeading)
+                val member = lastReport?.instance.orEmpty()
+                answers.addLast(controller.lend(member, message) ?: LeaderMessage.NotLeading)
                 signal.trySend(Unit)
             }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
@@ -44,6 +44,9 @@
     /** The number of instances that may hold shares. */
     val holderCount: Int get() = allocator.holderCount
 
+    /** Returns the place of [instance] in the order of all that may hold shares. */
+    fun rankOf(instance: String): Int = allocator.rankOf(instance)
+
     /** Returns the latest grant to [instance], null if it has none. */
     fun grantFor(instance: String): ShareGrant? = grants[instance]
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -17,7 +17,6 @@
 import mustarddale.serving.backend.ModelRef
 import mustarddale.serving.config.RouteTable
 import mustarddale.serving.config.ServingConfiguration
-import mustarddale.serving.limit.LimitSignal
 import mustarddale.serving.quota.AccountQuota
 import mustarddale.serving.residency.DemandSample
 import mustarddale.serving.retry.RetryBudget
@@ -27,7 +26,6 @@
 public class ServingState(public var settings: ServingSettings, private val clock: Clock) {
     private val loadsByBackend = HashMap<String, BackendLoad>()
     private val retryBudgets = HashMap<String, RetryBudget>()
-    private val limitSignals = HashMap<String, LimitSignal>()
     private val demandByModel = HashMap<ServiceModel, DemandCounter>()
 
     /** All known backend servers. */
@@ -51,6 +49,9 @@
     /** The blocks of requests by parts of their prompts. */
     public val promptBlocks: PromptBlocks = PromptBlocks(clock)
 
+    /** The limits that backend servers have set for requests of all instances. */
+    public val limits: ServerLimits = ServerLimits(clock, ::onLimitsChanged)
+
     /** The models that engines hold, as the leader reports them. */
     public val residency: ResidencyView = ResidencyView()
 
@@ -74,7 +75,10 @@
     /** The number of instances that share the retry budgets, null until a leader reports it. */
     public var instanceCount: Int? = null
 
-    /** Called when a request needs a model that no usable server holds, or has lost its server. */
+    /**
+     * Called when a request needs a model that no usable server holds, or has lost its server, and
+     * when the limit of a server has changed.
+     */
     public var onUrgentDemand: () -> Unit = {}
 
     /** Applies [next] if its version is newer than that of the configuration in force. */
@@ -119,13 +123,18 @@
 
             is BackendChange.Removed -> {
                 loadsByBackend.remove(change.backend.id)
-                limitSignals.remove(change.backend.id)
+                limits.forget(change.backend)
                 residency.removeEngine(change.backend.id)
                 logBackendChange("backend_gone", change.backend)
             }
         }
     }
 
+    private fun onLimitsChanged(runs: Set<String>) {
+        directory.backends.filter { it.run in runs }.forEach { loadOf(it).resumePermits() }
+        onUrgentDemand()
+    }
+
     /** Servers of a domain that returns may be cold before their entries say so. */
     private fun assumeCold(domains: Set<String>) {
         val nowMillis = clock.monotonicMillis()
@@ -181,7 +190,12 @@
         return directory.backends
             .filter { it.service == service && acceptsRequests(it) }
             .map {
-                Candidate(withKnownModels(it, requestedModel, nowMillis), loadOf(it), isColdLimited)
+                Candidate(
+                    withKnownModels(it, requestedModel, nowMillis),
+                    loadOf(it),
+                    isColdLimited,
+                    limits.limitOf(it)
+                )
             }
     }
 
@@ -231,18 +245,6 @@
         residency.markAbsent(backend.id, requestedModel, clock.monotonicMillis())
     }
 
-    /** Records what a response of [backend] says of the requests that it accepts. */
-    public fun recordLimit(backend: Backend, signal: LimitSignal) {
-        val before = limitSignals.put(backend.id, signal) ?: LimitSignal.Unlimited
-        if (signal == before) return
-        DecisionLog.record(
-            "server_limit",
-            "backend" to backend.id,
-            "limit" to signal,
-            "before" to before
-        )
-    }
-
     private class DemandCounter {
         var requests = 0
         var tokens = 0.0
