Let requests wait a second for a slot without a leader, and test limits harder

A request waited up to 500 ms for the slot of its instance, but a refused caller comes back no sooner than 400 to 1,000 ms.

Change: up to a second, at most a quarter of the remaining time. A refusal for want of a permit names the time until there may be one, and no less than other refusals. The wait for permits is in the line that ends a request. LimitSimulationTest has three more cases: late responses that overtake each other, and a burst after a quiet time without a leader.

--- a/core/src/main/kotlin/mustarddale/serving/limit/PermitRotation.kt
+++ b/core/src/main/kotlin/mustarddale/serving/limit/PermitRotation.kt
@@ -90,18 +90,21 @@
         return min(requestsPerSecond, allowed / usableSeconds)
     }
 
-    private companion object {
+    public companion object {
+        /** The longest time that a request waits for its slot; callers come back no sooner. */
+        public const val MAX_DELAY_MILLIS: Long = 1_000
+
         /** Callers send at random moments, so a slot must outlast the time between two requests. */
-        const val SLOT_LIFETIME_MILLIS = 3_000L
+        private const val SLOT_LIFETIME_MILLIS = 3_000L
 
         /** The window in which the platform counts the requests to a server with a limit. */
-        const val BOUND_WINDOW_SECONDS = 4.0
-        const val BOUND_FACTOR = 1.5
+        private const val BOUND_WINDOW_SECONDS = 4.0
+        private const val BOUND_FACTOR = 1.5
 
         /** One less than the platform allows, as a window may begin within a slot. */
-        const val BOUND_EXTRA_REQUESTS = 4.0
+        private const val BOUND_EXTRA_REQUESTS = 4.0
 
         /** How long limited servers are avoided by an instance that never had a leader. */
-        const val NO_PLACE_RETRY_MILLIS = 250L
+        private const val NO_PLACE_RETRY_MILLIS = 250L
     }
 }
--- a/core/src/test/kotlin/mustarddale/serving/limit/LimitSimulationTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/limit/LimitSimulationTest.kt
@@ -11,6 +11,8 @@
         val minUsed: Double,
         val instances: Int = 9,
         val demandFactor: Double = 2.0,
+        val quietMillis: LongRange = LongRange.EMPTY,
+        val maxResponseMillis: Long = 400,
         val limits: List<Pair<Long, Double?>> = listOf(1_000L to 4.3),
         val faults: List<Fault> = emptyList()
     )
@@ -38,6 +40,19 @@
         Case("moving limits, 61 instances", minUsed = 0.8, instances = 61, limits = movingLimit),
         Case("ending limits, 9 instances", minUsed = 0.8, limits = endingLimit),
         Case("ending limits, 61 instances", minUsed = 0.8, instances = 61, limits = endingLimit),
+        Case(
+            "late responses, 9 instances",
+            minUsed = 0.8,
+            maxResponseMillis = 1_500,
+            limits = listOf(1_000L to 5.0, 9_000L to null, 11_000L to 3.0, 20_000L to 5.0)
+        ),
+        Case(
+            "late responses, 61 instances",
+            minUsed = 0.8,
+            instances = 61,
+            maxResponseMillis = 1_500,
+            limits = listOf(1_000L to 5.0, 9_000L to null, 11_000L to 3.0, 20_000L to 5.0)
+        ),
         Case("no leader, 9 instances", minUsed = 0.8, faults = listOf(lostLeader)),
         Case("no leader, 61 instances", minUsed = 0.5, instances = 61, faults = listOf(lostLeader)),
         Case(
@@ -47,6 +62,14 @@
             demandFactor = 20.0,
             faults = listOf(lostLeader)
         ),
+        Case(
+            "no leader in a burst after a quiet time, 61 instances",
+            minUsed = 0.5,
+            instances = 61,
+            demandFactor = 20.0,
+            quietMillis = 4_500L..14_000L,
+            faults = listOf(lostLeader)
+        ),
         Case("leaders replaced, 9 instances", minUsed = 0.5, faults = replacements),
         Case("leaders replaced, 61 instances", 0.5, instances = 61, faults = replacements),
         Case(
@@ -70,6 +93,8 @@
                     seed.toLong(),
                     case.instances,
                     case.demandFactor,
+                    case.quietMillis,
+                    case.maxResponseMillis,
                     case.limits,
                     case.faults
                 )
--- a/core/src/test/kotlin/mustarddale/serving/limit/LimitedFleet.kt
+++ b/core/src/test/kotlin/mustarddale/serving/limit/LimitedFleet.kt
@@ -68,12 +68,16 @@
 
 /**
  * Instances that send to servers with limits, with late messages and late responses. Callers send
- * [demandFactor] times what the servers allow at most, and come back three times if refused.
+ * [demandFactor] times what the servers allow at most, but few requests in [quietMillis], and
+ * come back three times if refused. Responses take up to [maxResponseMillis] and overtake each
+ * other.
  */
 internal class LimitedFleet(
     seed: Long,
     instanceCount: Int,
     private val demandFactor: Double,
+    private val quietMillis: LongRange,
+    private val maxResponseMillis: Long,
     private val limits: List<Pair<Long, Double?>>,
     private val faults: List<Fault>
 ) {
@@ -115,7 +119,8 @@
     }
 
     private fun scheduleCaller(server: LimitedServer) {
-        val perSecond = demandFactor * maxOf(limits.mapNotNull { it.second }.max(), MIN_DEMAND)
+        val factor = if (nowMillis in quietMillis) QUIET_FACTOR else demandFactor
+        val perSecond = factor * maxOf(limits.mapNotNull { it.second }.max(), MIN_DEMAND)
         after((-ln(1 - random.nextDouble()) * 1_000 / perSecond).toLong()) {
             send(server, triesLeft = 4)
             scheduleCaller(server)
@@ -249,7 +254,12 @@
 
                 rotation.isActive -> {
                     val permit =
-                        rotation.request(server.name, limit, ROTATION_DELAY_MILLIS, nowMillis)
+                        rotation.request(
+                            server.name,
+                            limit,
+                            PermitRotation.MAX_DELAY_MILLIS,
+                            nowMillis
+                        )
                     use(permit, server, onRefused)
                 }
 
@@ -304,11 +314,10 @@
             val sentMillis = nowMillis
             after(delayMillis()) {
                 server.arrivalMillis.add(nowMillis)
-                after(random.nextLong(MAX_RESPONSE_MILLIS)) {
-                    val limit = server.limitAt(nowMillis)
-                    val signal =
-                        limit?.let { LimitSignal.Limited(it) } ?: LimitSignal.Unlimited
-                    after(delayMillis()) { whenRunning { receive(server, signal, sentMillis) } }
+                val limit = server.limitAt(nowMillis)
+                val signal = limit?.let { LimitSignal.Limited(it) } ?: LimitSignal.Unlimited
+                after(random.nextLong(maxResponseMillis)) {
+                    whenRunning { receive(server, signal, sentMillis) }
                 }
             }
         }
@@ -328,11 +337,10 @@
         const val URGENT_MILLIS = 50L
         const val LEADERLESS_AFTER_MILLIS = 1_100L
         const val NO_ANSWER_MILLIS = 250L
-        const val MAX_RESPONSE_MILLIS = 400L
         const val RETRY_JITTER_MILLIS = 600L
         const val MAX_DELAY_MILLIS = 125L
-        const val ROTATION_DELAY_MILLIS = 500L
         const val PRIORITY = 3
         const val MIN_DEMAND = 1.0
+        const val QUIET_FACTOR = 0.3
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/PermitGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/PermitGate.kt
@@ -5,6 +5,7 @@
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.BackendSelection
 import mustarddale.serving.backend.Candidate
+import mustarddale.serving.limit.PermitRotation
 import mustarddale.serving.limit.RequestPacer
 import mustarddale.serving.limit.SendPermit
 import mustarddale.time.Clock
@@ -23,7 +24,9 @@
         val nowMillis = clock.monotonicMillis()
         if (permit is SendPermit.Granted) {
             delay(permit.delayMillis)
-            val lateMillis = clock.monotonicMillis() - nowMillis - permit.delayMillis
+            val waitedMillis = clock.monotonicMillis() - nowMillis
+            requestLog.permitWaitMillis += waitedMillis
+            val lateMillis = waitedMillis - permit.delayMillis
             return lateMillis < RequestPacer.PERMIT_LIFETIME_MILLIS &&
                 state.acceptsRequests(target.backend)
         }
@@ -39,25 +42,26 @@
 
     private suspend fun requestPermit(target: BackendSelection.Selected): SendPermit? {
         val limit = target.requestsPerSecond
-        val maxDelayMillis = maxDelayMillis(target)
+        val patienceMillis = patienceMillis(target)
         if (target.needsColdPermit || limit == null || !state.limits.rotation.isActive) {
             // Urgent requests wait longer, so that they get the next permits before others.
             val urgency = 1 + request.priority.coerceAtLeast(0)
+            val maxDelayMillis = patienceMillis.coerceAtMost(RequestPacer.MAX_DELAY_MILLIS)
             return loans.borrowPermit(target, maxDelayMillis / urgency)
         }
         return state.limits.rotation.request(
             target.backend.run,
             limit,
-            maxDelayMillis,
+            patienceMillis.coerceAtMost(PermitRotation.MAX_DELAY_MILLIS),
             clock.monotonicMillis()
         )
     }
 
     /** Returns how long the request can wait; not at all if there are other servers for it. */
-    private fun maxDelayMillis(target: BackendSelection.Selected): Long {
+    private fun patienceMillis(target: BackendSelection.Selected): Long {
         if (target.availableCount > 1) return 0
         val remainingMillis = request.deadlineAtMillis - clock.monotonicMillis()
-        return (remainingMillis / DEADLINE_FRACTION).coerceIn(0, RequestPacer.MAX_DELAY_MILLIS)
+        return (remainingMillis / DEADLINE_FRACTION).coerceAtLeast(0)
     }
 
     /**
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -84,7 +84,9 @@
                     refuseOrFail(
                         "servers for ${requestedModel ?: "the service"} are full, cold, limited " +
                             "or failing",
-                        permitWaitMillis?.let { it + jitterMillis(RETRY_JITTER_MILLIS) }
+                        permitWaitMillis?.let {
+                            maxOf(it, RETRY_AFTER_MILLIS) + jitterMillis(RETRY_JITTER_MILLIS)
+                        }
                     )
                     return null
                 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -21,6 +21,9 @@
     /** Time that the request has waited for its model so far, in milliseconds. */
     var modelWaitMillis: Long = 0
 
+    /** Time that the request has waited for permits so far, in milliseconds. */
+    var permitWaitMillis: Long = 0
+
     /** Number of backend servers that the request was sent to. */
     var reachedBackends: Int = 0
         private set
@@ -111,6 +114,7 @@
             "reason" to reason,
             "afterMillis" to clock.monotonicMillis() - request.arrivedAtMillis,
             "waitedMillis" to modelWaitMillis,
+            "permitMillis" to permitWaitMillis.takeIf { it > 0 },
             "firstMillis" to responseHeadMillis,
             "arrivals" to reachedBackends,
             "version" to configurationVersion
