Keep evacuations that a returned store lacks until they are written again

Class: state that a store from an older copy takes back. Entries of servers had a grace period, evacuations had none.

Change: DrainingDomains keeps evacuations that are missing after an outage or a new era for the same 2.2 s. One that an operator removes ends at once.

--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendDirectory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendDirectory.kt
@@ -77,8 +77,8 @@
         return entries.remove(id)?.let { BackendChange.Removed(it) }
     }
 
-    private companion object {
-        /** Running servers renew their entries within about 2 s of the end of an outage. */
-        const val EXPIRY_GRACE_MILLIS = 2_200L
+    internal companion object {
+        /** Servers and operators write what is missing again within about 2 s of an outage. */
+        const val EXPIRY_GRACE_MILLIS: Long = 2_200
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -219,6 +219,7 @@
         while (true) {
             val removals = state.directory.removeExpired(clock.monotonicMillis())
             state.apply(removals)
+            state.updateDrainingDomains { removeExpired(it) }
             memberAgent.tick()
             watchdog.tick()
             delay(TICK_INTERVAL_MILLIS)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -14,6 +14,7 @@
 import mustarddale.serving.backend.BackendDirectory
 import mustarddale.serving.backend.BackendLoad
 import mustarddale.serving.backend.Candidate
+import mustarddale.serving.backend.DrainingDomains
 import mustarddale.serving.backend.ModelRef
 import mustarddale.serving.config.RouteTable
 import mustarddale.serving.config.ServingConfiguration
@@ -64,13 +65,7 @@
         private set
 
     /** Failure domains whose servers get no new requests. */
-    public var drainingDomains: Set<String> = emptySet()
-        set(value) {
-            if (field != value) DecisionLog.record("domains_closed", "domains" to value)
-            val reopened = field - value
-            field = value
-            assumeCold(reopened)
-        }
+    public val drainingDomains: DrainingDomains = DrainingDomains()
 
     /** The number of instances that share the retry budgets, null until a leader reports it. */
     public var instanceCount: Int? = null
@@ -135,6 +130,16 @@
         onUrgentDemand()
     }
 
+    /** Applies [change] to the failure domains whose servers get no new requests. */
+    public fun updateDrainingDomains(change: DrainingDomains.(nowMillis: Long) -> Unit) {
+        val before = drainingDomains.all
+        drainingDomains.change(clock.monotonicMillis())
+        val after = drainingDomains.all
+        if (before == after) return
+        DecisionLog.record("domains_closed", "domains" to after)
+        assumeCold(before - after)
+    }
+
     /** Servers of a domain that returns may be cold before their entries say so. */
     private fun assumeCold(domains: Set<String>) {
         val nowMillis = clock.monotonicMillis()
--- a/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
@@ -66,9 +66,9 @@
         val state = ServingState(settings, clock)
         state.configure(configuration())
         state.apply(listOf("a", "b").mapNotNull { state.directory.put(backend("i-$it", it)) })
-        state.drainingDomains = setOf("b")
+        state.updateDrainingDomains { add("b") }
         nowMillis += 5_000
-        state.drainingDomains = emptySet()
+        state.updateDrainingDomains { remove("b") }
         listOf(
             0L to setOf("i-b"),
             1_999L to setOf("i-b"),
