Log a digest of each request whose server was lost

Nothing in the log linked the attempts of a client that comes again: each has its own id. It is computed only for lost requests.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/AdmittedRequest.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/AdmittedRequest.kt
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.RequestHeaders
 import mustarddale.instance.serving.protocol.RequestHead
+import mustarddale.key.Sha256
 import mustarddale.serving.config.AccountConfig
 import mustarddale.serving.config.RouteConfig
 
@@ -33,6 +34,20 @@
             arrivedAtMillis + (route.callerTimeoutMillis ?: Long.MAX_VALUE / 2)
         )
 
+    /** Identifies the request by its content and its account; the same when it comes again. */
+    public val digest: String by lazy {
+        val target = listOf(headers.method().name, head.host, RequestTarget.of(headers))
+        // A request without a body has its prompt in its head.
+        val prompt = head.prompt.takeIf { body.isEmpty }
+        val fields = (target + account?.name + prompt).joinToString("\n")
+        Sha256.of(fields.toByteArray() + body.array()).take(DIGEST_CHARS)
+    }
+
     /** The priority of the request at backend servers. */
     public val priority: Int get() = account?.priority ?: route.priority
+
+    private companion object {
+        /** 64 bits, so that two of a day's requests hardly ever have the same digest. */
+        const val DIGEST_CHARS = 16
+    }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -56,7 +56,8 @@
             "toldAgeMillis" to reportedLoadAgeMillis,
             "wanted" to request.head.model,
             "tookMillis" to nowMillis - sentMillis,
-            "outcome" to outcomeText(result)
+            "outcome" to outcomeText(result),
+            "digest" to request.digest.takeIf { result is SendResult.OutcomeUnknown }
         )
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
@@ -22,6 +22,7 @@
  * @property callerTimeoutMillis how long the caller waits, null if it sets no limit.
  * @property lastEventId the event after which a stream is to continue, null for a whole stream.
  * @property promptParts ids of the parts of the prompt that other requests may share.
+ * @property prompt the model and the prompt as the caller names them, null if it names none.
  */
 public data class RequestHead(
     public val requestId: String,
@@ -33,7 +34,8 @@
     public val outputTokens: Double,
     public val callerTimeoutMillis: Long?,
     public val lastEventId: String?,
-    public val promptParts: List<String>
+    public val promptParts: List<String>,
+    public val prompt: String? = null
 )
 
 /**
