Send a request that lost its server again only as a trial of its own

What callers saw: one stock-check ended the four orders servers again and again (22 and 16 in all), and bookings beside it were refused or lost. Cause: nothing linked a request to the losses under it, neither within an instance, which sent it to the next server at once (11 ms later in the incident's histories), nor over instances, to which its client came again. Class: knowledge that ends with one attempt at one instance, about an effect on servers that all share.

Change: a digest of method, host, target, account and body identifies the request. Instances report digests that were unanswered when their server was lost; the leader names them to all. Such a request is sent only with a permit of the leader, alone among suspects at its server. If it loses that trial too and no other suspect explains the losses, or at its third loss, it is blocked: two more attempts, after 5 s and after 10 min. An answer, or a server that serves after its connection was lost, acquits it. Blocks are in the leadership record, which starting instances read.

Why it works: sound requests beside a crash are answered in their trials, and a deadly one never is; so a loss alone proves nothing and a lost trial does.

--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
@@ -1,6 +1,7 @@
 package mustarddale.serving.leadership
 
 import kotlinx.serialization.Serializable
+import mustarddale.serving.crash.RequestVerdict
 import mustarddale.serving.quota.ShareHolder
 
 /**
@@ -16,6 +17,7 @@
  *   if there is none.
  * @property shareHolders the instances that may hold shares granted in this term or before.
  * @property era the era of the log in which the record was written.
+ * @property requestVerdicts the requests that crash servers, or may.
  */
 @Serializable
 public data class LeaderRecord(
@@ -27,7 +29,8 @@
     public val isResigning: Boolean = false,
     public val lastOrder: LastOrder? = null,
     public val shareHolders: List<ShareHolder> = emptyList(),
-    public val era: Long = 0
+    public val era: Long = 0,
+    public val requestVerdicts: List<RequestVerdict> = emptyList()
 ) {
     public companion object {
         /** The term in the first record of a leadership, whose offset is not known in advance. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -184,6 +184,7 @@
     /** Starts the server, the feeds, the election and the connections to other instances. */
     public fun start() {
         state.onUrgentDemand = leaderConnections::reportNow
+        elector.onLeaderKnown = { state.suspectedRequests.updateFromRecord(it.requestVerdicts) }
         leaderController.onStateChanged = leaderConnections::notifyMembers
         feeds.backends.onRead = leaderConnections::notifyMembers
         Metrics.addRegistry(metrics)
@@ -192,6 +193,9 @@
         Metrics.gauge("mustarddale.instances", state) { (it.instanceCount ?: 0).toDouble() }
         Metrics.gauge("mustarddale.server.limits", state) { it.limits.size.toDouble() }
         Metrics.gauge("mustarddale.prompt.blocks", state) { it.promptBlocks.size.toDouble() }
+        Metrics.gauge("mustarddale.request.blocks", state) {
+            it.suspectedRequests.blockedCount.toDouble()
+        }
         server.start().join()
         scope.launch { feeds.operators.run() }
         scope.launch { feeds.backends.run() }
@@ -220,6 +224,7 @@
             val removals = state.directory.removeExpired(clock.monotonicMillis())
             state.apply(removals)
             state.updateDrainingDomains { removeExpired(it) }
+            state.suspectedRequests.removeExpired()
             memberAgent.tick()
             watchdog.tick()
             delay(TICK_INTERVAL_MILLIS)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/PromptGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/PromptGate.kt
@@ -42,8 +42,13 @@
 
     /** Records that [server] was lost before it answered. */
     fun recordLost(server: Backend) {
-        if (parts.isEmpty()) return
-        val suspect = CrashSuspect(server.run, request.head.requestId, parts)
+        val suspect = CrashSuspect(
+            server.run,
+            request.head.requestId,
+            parts,
+            server.service,
+            request.digest
+        )
         state.promptObservations.recordSuspect(suspect)
         mayHaveCrashedServer = state.promptObservations.areSuspicious(parts)
         state.onUrgentDemand()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -35,7 +35,8 @@
     private var possibleExecutions = 0
     private var mayBeRunning = false
     private val promptGate = PromptGate(request, state, loans)
-    private val relay = ResponseRelay(request, writer, protocol, promptGate::recordAnswer)
+    private val trialGate = TrialGate(request, state, loans, forwarder.clock)
+    private val relay = ResponseRelay(request, writer, protocol, ::recordAnswer)
     private val requestLog = RequestLog(request, state.configuration?.version, clock)
     private val permitGate = PermitGate(request, state, loans, requestLog, clock)
 
@@ -50,12 +51,23 @@
             val chosen = chooseBackend() ?: return
             // The request may have waited for its model.
             promptGate.refusal()?.let { return refuseOrFail(it) }
+            trialGate.refusal(chosen.backend)?.let { return refuseOrFail(it) }
             val isFinal = sendTo(chosen)
             if (isFinal) return
             triedBackendIds += chosen.backend.id
         }
     }
 
+    private fun recordAnswer() {
+        promptGate.recordAnswer()
+        trialGate.recordAnswer()
+    }
+
+    private fun recordLost(server: Backend) {
+        trialGate.recordLost(server)
+        promptGate.recordLost(server)
+    }
+
     private suspend fun chooseBackend(): BackendSelection.Selected? {
         while (true) {
             val nowMillis = clock.monotonicMillis()
@@ -161,6 +173,7 @@
             return result.isFinal
         } finally {
             load.recordOutcome(outcome, clock.monotonicMillis())
+            trialGate.endAttempt()
         }
     }
 
@@ -192,12 +205,13 @@
 
             is SendResult.OutcomeUnknown -> {
                 possibleExecutions++
-                if (result.hasLostConnection) promptGate.recordLost(backend)
+                if (result.hasLostConnection) recordLost(backend)
                 AttemptResult(RequestOutcome.LOST, failUnlessRepeatable(result.reason))
             }
 
             is SendResult.Responded -> {
                 possibleExecutions++
+                state.suspectedRequests.recordResponse(backend.run, sentMillis)
                 result.head.load?.let { load.report(it, nowMillis) }
                 state.limits.record(backend, result.head.limit, sentMillis)
                 handleResponse(backend, load, result, nowMillis)
@@ -218,7 +232,7 @@
         }
         val error = relay.relay(response)
         requestLog.logResponseEnd(relay.framing, relay.partialEventBytes, error)
-        if (error != null && !relay.isAnswered) promptGate.recordLost(backend)
+        if (error != null && !relay.isAnswered) recordLost(backend)
         // The server sent a response head, so a truncated body does not count as a lost server.
         if (error != null) return AttemptResult(RequestOutcome.FAILED, failUnlessRepeatable(error))
         requestLog.logFinished(status.codeAsText())
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.launch
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.crash.RequestTrials
 import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.prompt.CrashAnalyzer
@@ -45,6 +46,9 @@
     /** The version of the engines' contents, which grows with each change. */
     public val contentsVersion: Long get() = newestTerm?.contents?.version ?: 0
 
+    /** The version of the verdicts on requests, which grows with each change. */
+    public val verdictVersion: Long get() = newestTerm?.trials?.version ?: 0
+
     /** Called when an engine's contents have changed or an instance got its first shares. */
     public var onStateChanged: () -> Unit = {}
 
@@ -55,6 +59,7 @@
         current.shares.handleReport(report, nowMillis)
         current.placement.handleReport(report, nowMillis)
         current.handlePromptReport(report, nowMillis)
+        current.handleTrialReport(report, nowMillis)
         if (current.permits.handleReport(report)) onStateChanged()
         return true
     }
@@ -84,6 +89,7 @@
             instances = current.shares.holderCount,
             engines = current.contents.changesSince(seenVersion, nowMillis),
             promptBlocks = current.crashes.blocks(nowMillis),
+            requestVerdicts = current.trials.verdicts(nowMillis),
             serverLimits = current.permits.limits,
             rank = current.shares.rankOf(member)
         )
@@ -96,9 +102,31 @@
             is LeaderMessage.TokensWanted -> current.shares.lend(request)
             is LeaderMessage.PermitWanted -> current.permits.lend(member, request)
             is LeaderMessage.ProbeWanted -> lendProbe(current, request)
+            is LeaderMessage.TrialWanted -> lendTrial(current, request)
         }
     }
 
+    private fun lendTrial(
+        current: TermWork,
+        request: LeaderMessage.TrialWanted
+    ): LeaderMessage.LoanAnswer {
+        val nowMillis = clock.monotonicMillis()
+        val waitMillis = current.trials.requestTrial(
+            request.digest,
+            request.service,
+            request.run,
+            nowMillis
+        )
+        if (waitMillis == 0L) {
+            DecisionLog.record(
+                "request_tried",
+                "digest" to request.digest,
+                "server" to request.run
+            )
+        }
+        return LeaderMessage.LoanAnswer(request.number, waitMillis)
+    }
+
     private fun lendProbe(
         current: TermWork,
         request: LeaderMessage.ProbeWanted
@@ -130,7 +158,9 @@
                 current.placement.lastOrder()
             },
             shareHolders =
-            current?.shares?.holdersForRecord() ?: newestRecord?.shareHolders.orEmpty()
+            current?.shares?.holdersForRecord() ?: newestRecord?.shareHolders.orEmpty(),
+            requestVerdicts = current?.trials?.lastingVerdicts(clock.monotonicMillis())
+                ?: newestRecord?.requestVerdicts.orEmpty()
         )
     }
 
@@ -138,6 +168,7 @@
         val contents = EngineContentsRegistry { onStateChanged() }
         val permits = PermitController(leadership, state, clock)
         val crashes = CrashAnalyzer()
+        val trials = RequestTrials(leadership.sinceMillis)
         private val blockInterval = MinInterval(BLOCK_INTERVAL_MILLIS)
         val shares = ShareController(leadership, state, clock) { onStateChanged() }
         val placement = PlacementController(
@@ -156,6 +187,9 @@
             private set
 
         fun start() {
+            val nowMillis = clock.monotonicMillis()
+            leadership.predecessor?.requestVerdicts.orEmpty()
+                .forEach { trials.adopt(it, nowMillis) }
             job = scope.launch {
                 while (true) {
                     if (activeTerm() === this@TermWork) tick()
@@ -170,15 +204,42 @@
                 report.promptBlocks.forEach { crashes.adopt(it, nowMillis) }
             }
             val hasUnblocked = crashes.recordAnswers(report.promptAnswers, report.answeredParts)
-            report.crashSuspects.forEach { crashes.recordSuspect(it, nowMillis) }
+            report.crashSuspects.filter { it.parts.isNotEmpty() }
+                .forEach { crashes.recordSuspect(it, nowMillis) }
             if (!hasUnblocked) return
             DecisionLog.record("prompts_unblocked", "blocked" to crashes.blocks(nowMillis))
             onStateChanged()
         }
 
+        /** Processes what an instance's report says about requests that may crash servers. */
+        fun handleTrialReport(report: LeaderMessage.Report, nowMillis: Long) {
+            val versionBefore = trials.version
+            if (report.term != leadership.term) {
+                report.requestVerdicts.forEach { trials.adopt(it, nowMillis) }
+            }
+            report.crashSuspects.forEach {
+                trials.recordLost(it.digest, it.service, it.server, nowMillis)
+            }
+            trials.recordAnswers(report.answeredSuspects)
+            trials.endTrials(report.endedTrials)
+            trials.recordServing(report.servingServers)
+            if (trials.version != versionBefore) onStateChanged()
+        }
+
+        private fun blockRequests(nowMillis: Long) {
+            val versionBefore = trials.version
+            trials.blockSuspects(nowMillis).forEach {
+                DecisionLog.record(
+                    "request_blocked",
+                    "digest" to it,
+                    "crashed" to trials.serversLostBy(it),
+                    "term" to leadership.term
+                )
+            }
+            if (trials.version != versionBefore) onStateChanged()
+        }
+
         private fun blockPrompts(nowMillis: Long) {
-            if (blockInterval.waitMillis(nowMillis) > 0) return
-            blockInterval.recordRun(nowMillis)
             val newBlocks = crashes.blockSuspects(nowMillis)
             newBlocks.forEach {
                 DecisionLog.record(
@@ -193,7 +254,11 @@
 
         private fun tick() {
             val nowMillis = clock.monotonicMillis()
-            blockPrompts(nowMillis)
+            if (blockInterval.waitMillis(nowMillis) == 0L) {
+                blockInterval.recordRun(nowMillis)
+                blockPrompts(nowMillis)
+                blockRequests(nowMillis)
+            }
             shares.tick(nowMillis)
             permits.tick()
             placement.tick(nowMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
@@ -62,6 +62,9 @@
     /** Called with each term that this instance wins. */
     public var onElected: (LeadershipTerm) -> Unit = {}
 
+    /** Called with the newest record whenever another process has become the leader. */
+    public var onLeaderKnown: (LeaderRecord) -> Unit = {}
+
     /** Fills in the leader's state in its next record, given the newest known record. */
     public var fillInRecord: (LeaderRecord, LeaderRecord?) -> LeaderRecord = { record, _ -> record }
 
@@ -167,6 +170,7 @@
                 "term" to leader.term,
                 "resigning" to leader.record.isResigning
             )
+            onLeaderKnown(leader.record)
         }
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLoans.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLoans.kt
@@ -1,6 +1,7 @@
 /*
  * Requests from the leader what this instance has no share of: tokens of client accounts, permits
- * for requests to cold and limited backend servers, and probes of blocked prompts. The leader
+ * for requests to cold and limited backend servers, probes of blocked prompts, and trials of
+ * requests that may crash servers. The leader
  * counts a loan before it answers, so a lost answer loses the loan but never creates one. Runs on
  * the event loop.
  */
@@ -8,6 +9,7 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
+import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendSelection
 import mustarddale.serving.limit.RequestPacer
 import mustarddale.serving.limit.SendPermit
@@ -78,6 +80,16 @@
     public suspend fun borrowProbe(parts: List<String>): Long? =
         request(TOKEN_TIMEOUT_MILLIS) { LeaderMessage.ProbeWanted(it, parts) }?.waitMillis
 
+    /**
+     * Requests a permit to send the suspected request [digest] to [server] once; returns 0 if it
+     * was granted, else the milliseconds until the next request, or null if the leader gave no
+     * answer.
+     */
+    public suspend fun borrowTrial(digest: String, server: Backend): Long? =
+        request(TOKEN_TIMEOUT_MILLIS) {
+            LeaderMessage.TrialWanted(it, digest, server.service, server.run)
+        }?.waitMillis
+
     private suspend fun request(
         timeoutMillis: Long,
         message: (Long) -> LeaderMessage.LoanRequest
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import mustarddale.serving.crash.RequestVerdict
 import mustarddale.serving.limit.LimitObservation
 import mustarddale.serving.limit.ServerLimit
 import mustarddale.serving.prompt.CrashSuspect
@@ -34,6 +35,10 @@
      * @property answeredParts the parts of their prompts.
      * @property crashSuspects requests that were unanswered when their server was lost.
      * @property promptBlocks the blocks that this instance knows of.
+     * @property answeredSuspects digests of suspected requests answered since the last report.
+     * @property endedTrials suspected requests whose trials ended without an answer or a loss.
+     * @property servingServers servers that were lost and have responded since the last report.
+     * @property requestVerdicts the verdicts on requests that this instance knows of.
      * @property serverLimits the limits that servers have set, as this instance knows them.
      * @property limitObservations what it has learned of them since the last report.
      */
@@ -55,6 +60,10 @@
         public val answeredParts: Set<String> = emptySet(),
         public val crashSuspects: List<CrashSuspect> = emptyList(),
         public val promptBlocks: List<PromptBlock> = emptyList(),
+        public val answeredSuspects: Set<String> = emptySet(),
+        public val endedTrials: Set<String> = emptySet(),
+        public val servingServers: Set<String> = emptySet(),
+        public val requestVerdicts: List<RequestVerdict> = emptyList(),
         public val serverLimits: List<ServerLimit> = emptyList(),
         public val limitObservations: List<LimitObservation> = emptyList()
     ) : LeaderMessage
@@ -71,6 +80,7 @@
      * @property engines the engines whose contents have changed since the last message.
      * @property backends new records of the backend server list.
      * @property promptBlocks all blocks of requests by parts of their prompts.
+     * @property requestVerdicts all verdicts on requests, null if they are as in the last message.
      * @property serverLimits all limits that servers have set.
      * @property rank the place of the instance among [instances] if there is no leader to ask.
      */
@@ -88,6 +98,7 @@
         public val engines: List<EngineContents>,
         public val backends: BackendNews? = null,
         public val promptBlocks: List<PromptBlock> = emptyList(),
+        public val requestVerdicts: List<RequestVerdict>? = null,
         public val serverLimits: List<ServerLimit> = emptyList(),
         public val rank: Int = 0
     ) : LeaderMessage
@@ -134,6 +145,20 @@
     public data class ProbeWanted(override val number: Long, public val parts: List<String>) :
         LoanRequest
 
+    /**
+     * A request to send the suspected request [digest] to the server [run] of [service] once.
+     *
+     * @property run the run of the server.
+     */
+    @Serializable
+    @SerialName("trial-wanted")
+    public data class TrialWanted(
+        override val number: Long,
+        public val digest: String,
+        public val service: String,
+        public val run: String
+    ) : LoanRequest
+
     /**
      * Grants the [LoanRequest] with [number] if [waitMillis] is 0, else says when to ask again.
      *
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -75,6 +75,10 @@
             answeredParts = answers.parts,
             crashSuspects = state.promptObservations.takeSuspects(),
             promptBlocks = state.promptBlocks.current(),
+            answeredSuspects = state.suspectedRequests.takeAnswered(),
+            endedTrials = state.suspectedRequests.takeEndedTrials(),
+            servingServers = state.suspectedRequests.takeServingServers(),
+            requestVerdicts = state.suspectedRequests.current(),
             serverLimits = state.limits.known(),
             limitObservations = state.limits.takeObservations()
         )
@@ -106,6 +110,7 @@
             state.residency.update(engine.engine, engine.models, expectedAtMillis)
         }
         state.promptBlocks.update(message.promptBlocks)
+        message.requestVerdicts?.let { state.suspectedRequests.update(it) }
         state.instanceCount = message.instances.coerceAtLeast(1)
         state.limits.update(message.serverLimits, sentMillis[message.answers])
         state.limits.rotation.onLeaderMessage(
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
@@ -26,6 +26,7 @@
     private var lastReport: LeaderMessage.Report? = null
     private var isStateDue = false
     private var sentVersion = 0L
+    private var sentVerdictVersion: Pair<Long, Long>? = null
     private var sentEndOffset: Long? = null
     private var sentEra = 0L
 
@@ -78,13 +79,19 @@
         val state = controller.stateFor(report.instance, report.number, sentVersion)
             ?: return LeaderMessage.NotLeading
         sentVersion = controller.contentsVersion
+        val verdictVersion = state.term to controller.verdictVersion
+        val hasNewVerdicts = verdictVersion != sentVerdictVersion
+        sentVerdictVersion = verdictVersion
         if (sentEra != backends.era) sentEndOffset = null
         sentEra = backends.era
         val reportedOffset = report.backendOffset.takeIf { report.backendEra == backends.era }
         val fromOffset = listOfNotNull(sentEndOffset, reportedOffset).maxOrNull()
         val newRecords = fromOffset?.let { backends.recordsSince(it) }
         if (newRecords != null) sentEndOffset = newRecords.fromOffset + newRecords.records.size
-        return state.copy(backends = newRecords?.toMessage())
+        return state.copy(
+            backends = newRecords?.toMessage(),
+            requestVerdicts = state.requestVerdicts.takeIf { hasNewVerdicts }
+        )
     }
 
     private fun RelayedRecords.toMessage() =
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/PromptObservations.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/PromptObservations.kt
@@ -36,7 +36,6 @@
 
     /** Records a request that had no answer when the connection to its server was lost. */
     public fun recordSuspect(suspect: CrashSuspect) {
-        if (suspect.parts.isEmpty()) return
         suspects.addLast(clock.monotonicMillis() to suspect)
         unreportedSuspects++
         if (suspects.size > MAX_SUSPECTS) suspects.removeFirst()
@@ -48,7 +47,9 @@
      */
     public fun areSuspicious(parts: List<String>): Boolean {
         val sinceMillis = clock.monotonicMillis() - SUSPICION_MILLIS
-        val lostServers = suspects.filter { it.first >= sinceMillis }.map { it.second.server }
+        val lostServers =
+            suspects.filter { it.first >= sinceMillis && it.second.parts.isNotEmpty() }
+                .map { it.second.server }
         val hasUnanswered = parts.any { (answeredAtMillis[it] ?: Long.MIN_VALUE) < sinceMillis }
         return hasUnanswered && lostServers.distinct().size >= MIN_LOST_SERVERS
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -50,6 +50,9 @@
     /** The blocks of requests by parts of their prompts. */
     public val promptBlocks: PromptBlocks = PromptBlocks(clock)
 
+    /** The requests that may crash servers. */
+    public val suspectedRequests: SuspectedRequests = SuspectedRequests(clock)
+
     /** The limits that backend servers have set for requests of all instances. */
     public val limits: ServerLimits = ServerLimits(clock, ::onLimitsChanged)
 
