Keep blocks of requests when there are many suspects

Suspects that lost two servers were never dropped for new ones, so with 512 of them a request that began to crash servers would not have been noticed. Now the least suspicious and oldest goes.

--- a/core/src/main/kotlin/mustarddale/serving/crash/RequestTrials.kt
+++ b/core/src/main/kotlin/mustarddale/serving/crash/RequestTrials.kt
@@ -19,7 +19,7 @@
     /** Records that the request [digest] to [service] had no answer when [server] was lost. */
     public fun recordLost(digest: String, service: String, server: String, nowMillis: Long) {
         val trial = trialsByServer.remove(server)
-        val suspect = suspectOf(digest, service, nowMillis) ?: return
+        val suspect = suspectOf(digest, service, nowMillis)
         if (suspect.lossMillisByServer.putIfAbsent(server, nowMillis) != null) return
         suspect.isWatched = true
         suspect.changedAtMillis = nowMillis
@@ -52,7 +52,7 @@
 
     /** Takes over [verdict] from an instance, or from the record of an earlier leader. */
     public fun adopt(verdict: RequestVerdict, nowMillis: Long) {
-        val suspect = suspectOf(verdict.digest, UNKNOWN_SERVICE, nowMillis) ?: return
+        val suspect = suspectOf(verdict.digest, UNKNOWN_SERVICE, nowMillis)
         if (suspect.isAdopted && suspect.isBlocked == verdict.isBlocked &&
             suspect.probesLeft <= verdict.probesLeft
         ) {
@@ -88,7 +88,7 @@
         val readyInMillis = startMillis + GATHER_MILLIS - nowMillis
         if (readyInMillis > 0) return readyInMillis
         trialsByServer.values.removeIf { it.untilMillis <= nowMillis }
-        val suspect = suspectOf(digest, service, nowMillis) ?: return BUSY_RETRY_MILLIS
+        val suspect = suspectOf(digest, service, nowMillis)
         suspect.changedAtMillis = nowMillis
         val verdict = suspect.toVerdict(digest, nowMillis)
         if (verdict.forbidsSending) {
@@ -120,16 +120,19 @@
         it.isLasting
     }.map { (digest, it) -> it.toVerdict(digest, nowMillis) }
 
-    private fun suspectOf(digest: String, service: String, nowMillis: Long): Suspect? {
+    private fun suspectOf(digest: String, service: String, nowMillis: Long): Suspect {
         val known = suspects[digest]
         if (known != null) {
             if (known.service == UNKNOWN_SERVICE) known.service = service
             return known
         }
         if (suspects.size >= MAX_SUSPECTS) {
-            val oldest = suspects.entries.filter { !it.value.isLasting }
-                .minByOrNull { it.value.changedAtMillis } ?: return null
-            suspects.remove(oldest.key)
+            val leastSuspicious = suspects.entries.minWith(
+                compareBy({
+                    it.value.isBlocked
+                }, { it.value.isLasting }, { it.value.changedAtMillis })
+            )
+            suspects.remove(leastSuspicious.key)
         }
         return Suspect(service, nowMillis).also { suspects[digest] = it }
     }
--- a/core/src/test/kotlin/mustarddale/serving/crash/RequestTrialsTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/crash/RequestTrialsTest.kt
@@ -113,6 +113,16 @@
         assertEquals(expected + RequestTrials.FORGET_MILLIS, waits)
     }
 
+    @Test
+    fun `blocks stay when there are more suspects than can be known`() {
+        loseTrialOfA()
+        assertEquals(listOf("a"), trials.blockSuspects(2_000))
+        repeat(600) { loseAt(3_000L + it, "b$it", "s3") }
+        loseAt(4_000, "c", "s4")
+        val known = trials.verdicts(4_000).map { it.digest }
+        assertEquals(listOf(true, false, true), listOf("a", "b0", "c").map { it in known })
+    }
+
     private companion object {
         const val SERVICE = "orders"
     }
