Read the software versions of servers and log them

The log could not tell which version began a stream and which one it went on at: nothing read `version` of a server's entry. Now an entry without it names no server to use, as the platform's pages say of incomplete entries, and each logged change of a server names its version.

--- a/bench/src/main/kotlin/mustarddale/bench/PlacementReport.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/PlacementReport.kt
@@ -80,6 +80,7 @@
         service = "scribe",
         address = BackendAddress("10.0.0.1", index),
         failureDomain = "a",
+        version = "v1",
         slots = spec.slots,
         isDraining = false,
         drainRemainingMillis = null,
--- a/core/src/main/kotlin/mustarddale/serving/backend/Backend.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/Backend.kt
@@ -12,6 +12,7 @@
  * A backend server as it describes itself in the platform's list.
  *
  * @property id identifies one run of the server; a restarted server usually has another.
+ * @property version the version of the server's software.
  * @property slots the number of requests that the server runs at the same time.
  * @property isDraining whether the server is shutting down and accepts no new requests.
  * @property drainRemainingMillis the time until a draining server stops, null if not stated.
@@ -28,6 +29,7 @@
     public val service: String,
     public val address: BackendAddress,
     public val failureDomain: String,
+    public val version: String,
     public val slots: Int,
     public val isDraining: Boolean,
     public val drainRemainingMillis: Long?,
--- a/core/src/test/kotlin/mustarddale/serving/backend/BackendFixtures.kt
+++ b/core/src/test/kotlin/mustarddale/serving/backend/BackendFixtures.kt
@@ -16,6 +16,7 @@
         service = "scribe",
         address = BackendAddress("10.0.0.1", 80),
         failureDomain = domain,
+        version = "v1",
         slots = 10,
         isDraining = isDraining,
         drainRemainingMillis = null,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -156,6 +156,7 @@
             "backend" to backend.id,
             "service" to backend.service,
             "domain" to backend.failureDomain,
+            "version" to backend.version,
             "draining" to backend.isDraining,
             "coldMillis" to backend.coldRemainingMillis,
             "models" to backend.models,
--- a/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
@@ -42,6 +42,7 @@
         service = "scribe",
         address = BackendAddress("10.0.0.1", 80),
         failureDomain = domain,
+        version = "v1",
         slots = 10,
         isDraining = false,
         drainRemainingMillis = null,
