Let streams go on only at the software version that began them

Cause: nothing read the versions of servers, and nothing read Resumes; a stream went on at any engine with its model, within one response and when its client took it up at another instance. Class: state that an answer refers to and that only the server had that wrote it.

Change: an instance remembers for 60 s which version wrote the first event of each resumable stream, under the id that Resumes names. While a service has had several versions in the last 60 s, instances send these records to the leader, which passes them to three others by place, so that they outlast it; an instance to which a client brings a stream asks the leader. Only servers of the version are candidates. An unknown version is refused as not run, never guessed.

Why it works: the record is on its way before the caller has the first event, and within half a second it is at four places.

--- a/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
+++ b/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
@@ -52,6 +52,7 @@
     NO_BACKEND("no_backend", 503, SERVER, Executed.NO),
     PROMPT_BLOCKED("prompt_blocked", 503, SERVER, Executed.NO),
     REQUEST_BLOCKED("request_blocked", 503, SERVER, Executed.NO),
+    STREAM_NOT_RESUMABLE("stream_not_resumable", 503, SERVER, Executed.NO),
     BACKEND_COLD("backend_cold", 503, SERVER, Executed.NO),
     LOG_UNAVAILABLE("log_unavailable", 503, SERVER, Executed.NO),
     IDEMPOTENCY_TABLE_FULL("idempotency_table_full", 503, SERVER, Executed.NO)
--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.Serializable
 import mustarddale.serving.crash.RequestVerdict
 import mustarddale.serving.quota.ShareHolder
+import mustarddale.serving.version.ServiceVersions
 
 /**
  * A record of the leadership log, by which its writer starts, renews or ends its leadership.
@@ -18,6 +19,7 @@
  * @property shareHolders the instances that may hold shares granted in this term or before.
  * @property era the era of the log in which the record was written.
  * @property requestVerdicts the requests that crash servers, or may.
+ * @property mixedServices the services that have lately had several software versions.
  */
 @Serializable
 public data class LeaderRecord(
@@ -30,7 +32,8 @@
     public val lastOrder: LastOrder? = null,
     public val shareHolders: List<ShareHolder> = emptyList(),
     public val era: Long = 0,
-    public val requestVerdicts: List<RequestVerdict> = emptyList()
+    public val requestVerdicts: List<RequestVerdict> = emptyList(),
+    public val mixedServices: List<ServiceVersions> = emptyList()
 ) {
     public companion object {
         /** The term in the first record of a leadership, whose offset is not known in advance. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -181,10 +181,17 @@
     /** Number of callers' requests whose responses have not ended. */
     public val openRequests: Int get() = callerService.openRequests
 
+    /** Number of streams whose software versions this instance knows. */
+    public val streamRecords: Int get() = state.streamVersions.size
+
     /** Starts the server, the feeds, the election and the connections to other instances. */
     public fun start() {
         state.onUrgentDemand = leaderConnections::reportNow
-        elector.onLeaderKnown = { state.suspectedRequests.updateFromRecord(it.requestVerdicts) }
+        state.streamVersions.onRecord = leaderConnections::reportStreams
+        elector.onLeaderKnown = {
+            state.suspectedRequests.updateFromRecord(it.requestVerdicts)
+            state.streamVersions.history.merge(it.mixedServices, clock.monotonicMillis())
+        }
         leaderController.onStateChanged = leaderConnections::notifyMembers
         feeds.backends.onRead = leaderConnections::notifyMembers
         Metrics.addRegistry(metrics)
@@ -193,6 +200,7 @@
         Metrics.gauge("mustarddale.instances", state) { (it.instanceCount ?: 0).toDouble() }
         Metrics.gauge("mustarddale.server.limits", state) { it.limits.size.toDouble() }
         Metrics.gauge("mustarddale.prompt.blocks", state) { it.promptBlocks.size.toDouble() }
+        Metrics.gauge("mustarddale.stream.records", state) { it.streamVersions.size.toDouble() }
         Metrics.gauge("mustarddale.request.blocks", state) {
             it.suspectedRequests.blockedCount.toDouble()
         }
@@ -225,6 +233,7 @@
             state.apply(removals)
             state.updateDrainingDomains { removeExpired(it) }
             state.suspectedRequests.removeExpired()
+            state.streamVersions.recordListed(state.directory.backends)
             memberAgent.tick()
             watchdog.tick()
             delay(TICK_INTERVAL_MILLIS)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -12,6 +12,7 @@
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendLoad
 import mustarddale.serving.backend.BackendSelection
+import mustarddale.serving.backend.Candidate
 import mustarddale.serving.backend.RequestOutcome
 import mustarddale.serving.config.Repeatability
 import mustarddale.serving.residency.AbsentModelDecision
@@ -34,10 +35,12 @@
     private val triedBackendIds = HashSet<String>()
     private var possibleExecutions = 0
     private var mayBeRunning = false
+    private var answeringBackend: Backend? = null
     private val promptGate = PromptGate(request, state, loans)
     private val trialGate = TrialGate(request, state, loans, forwarder.clock)
     private val relay = ResponseRelay(request, writer, protocol, ::recordAnswer)
     private val requestLog = RequestLog(request, state.configuration?.version, clock)
+    private val versionGate = VersionGate(request, state, loans, requestLog, clock)
     private val permitGate = PermitGate(request, state, loans, requestLog, clock)
 
     /** Tries servers in turn until the caller has a complete response, a refusal or an abort. */
@@ -46,6 +49,7 @@
             state.recordDemand(ServiceModel(request.service, it), request.head.outputTokens)
         }
         state.retryBudgetOf(request.service).recordRequest(clock.monotonicMillis())
+        versionGate.refusal()?.let { return refuseOrFail(it) }
         while (true) {
             promptGate.refusal()?.let { return refuseOrFail(it) }
             val chosen = chooseBackend() ?: return
@@ -59,6 +63,7 @@
     }
 
     private fun recordAnswer() {
+        answeringBackend?.let { versionGate.recordFirstEvent(it) }
         promptGate.recordAnswer()
         trialGate.recordAnswer()
     }
@@ -72,7 +77,7 @@
         while (true) {
             val nowMillis = clock.monotonicMillis()
             val requestedModel = request.head.model
-            val candidates = state.candidates(request.service, requestedModel)
+            val candidates = candidates()
             val selection = backendSelector.select(
                 candidates,
                 requestedModel,
@@ -111,6 +116,11 @@
         }
     }
 
+    /** Returns the servers that may get the request, of the version that began its stream. */
+    private fun candidates(): List<Candidate> =
+        state.candidates(request.service, request.head.model)
+            .filter { versionGate.allows(it.backend) }
+
     private fun mayRetry(nowMillis: Long): Boolean =
         state.retryBudgetOf(request.service).tryAcquire(state.instanceCount, nowMillis)
 
@@ -122,7 +132,9 @@
             return false
         }
         val expectedAtMillis =
-            state.expectedAtMillis(request.service, serviceModel.requestedModel.model)
+            state.expectedAtMillis(request.service, serviceModel.requestedModel.model) {
+                versionGate.allows(it)
+            }
         val absent = absentModelRequest(serviceModel)
         val decision = AbsentModelPolicy.decide(absent, expectedAtMillis, nowMillis)
         if (decision is AbsentModelDecision.Wait && !state.modelWaiters.isClosed) {
@@ -149,7 +161,7 @@
         callerTimeoutAtMillis = request.firstByteDeadlineAtMillis,
         latencyTargetMillis = request.route.latencyTargetMillis,
         lacksAdapterOnly = serviceModel.requestedModel.adapter != null &&
-            state.candidates(request.service, serviceModel.requestedModel)
+            candidates()
                 .any { serviceModel.requestedModel.model in it.backend.models }
     )
 
@@ -230,6 +242,7 @@
             response.body.abort()
             return AttemptResult(RequestOutcome.FAILED, isFinal = false)
         }
+        answeringBackend = backend
         val error = relay.relay(response)
         requestLog.logResponseEnd(relay.framing, relay.partialEventBytes, error)
         if (error != null && !relay.isAnswered) recordLost(backend)
@@ -251,9 +264,7 @@
             state.retryBudgetOf(request.service).mayRetry(state.instanceCount, nowMillis)
 
     private fun hasUntriedBackend(): Boolean =
-        state.candidates(request.service, request.head.model).any {
-            it.backend.id !in triedBackendIds
-        }
+        candidates().any { it.backend.id !in triedBackendIds }
 
     private fun backendAttempt(backend: Backend) = BackendAttempt(
         backend = backend,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -77,6 +77,19 @@
         )
     }
 
+    /** Logs that the stream continues at servers with [version], which [source] has named. */
+    fun logStreamResumed(version: String?, source: String, waitedMillis: Long) {
+        DecisionLog.recordRequest(
+            "stream_resumed",
+            request.head.requestId,
+            isSuccess = version != null,
+            "resumes" to request.head.resumedRequestId,
+            "version" to (version ?: "unknown"),
+            "source" to source,
+            "waitedMillis" to waitedMillis
+        )
+    }
+
     /**
      * Logs the end of a response body that only the end of its connection marks, or that is
      * incomplete because of [error].
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/VersionGate.kt
@@ -0,0 +1,85 @@
+/*
+ * Keeps a stream at servers of the software version that began it, within one response and when its
+ * client takes it up again, here or at another instance.
+ */
+package mustarddale.instance.serving.forward
+
+import kotlinx.coroutines.delay
+import mustarddale.error.ErrorKind
+import mustarddale.error.Refusal
+import mustarddale.instance.serving.leader.LeaderLoans
+import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.backend.Backend
+import mustarddale.serving.config.Repeatability
+import mustarddale.time.Clock
+
+/** Finds out which version began the stream that [request] continues, and records new streams. */
+internal class VersionGate(
+    private val request: AdmittedRequest,
+    private val state: ServingState,
+    private val loans: LeaderLoans,
+    private val requestLog: RequestLog,
+    private val clock: Clock
+) {
+    private val versions = state.streamVersions
+    private val continuesStream =
+        request.head.resumedRequestId != null || request.head.lastEventId != null
+    private var version: String? = null
+
+    /** Whether the request may be sent to [server]. */
+    fun allows(server: Backend): Boolean = version == null || server.version == version
+
+    /** Waits until the version is known; returns why the stream cannot continue, null if it can. */
+    suspend fun refusal(): Refusal? {
+        if (!continuesStream || !versions.history.isMixed(request.service)) return null
+        val startMillis = clock.monotonicMillis()
+        val stream = request.head.resumedRequestId
+        version = stream?.let { versions.versionOf(it) }
+        val source = if (version == null) "leader" else "instance"
+        if (version == null && stream != null) version = askLeader(stream)
+        requestLog.logStreamResumed(version, source, clock.monotonicMillis() - startMillis)
+        if (version != null) return null
+        return Refusal(
+            ErrorKind.STREAM_NOT_RESUMABLE,
+            "the software version that began the stream is not known",
+            retryAfterMillis = RETRY_AFTER_MILLIS
+        )
+    }
+
+    /** Asks the leader as long as it may yet learn the version of [stream]. */
+    private suspend fun askLeader(stream: String): String? {
+        val startMillis = clock.monotonicMillis()
+        var untilMillis =
+            minOf(startMillis + MAX_LEADER_WAIT_MILLIS, request.firstByteDeadlineAtMillis)
+        var hasAnswered = false
+        while (true) {
+            val answer = loans.requestVersion(stream)
+            if (answer?.version != null) return answer.version
+            val nowMillis = clock.monotonicMillis()
+            if (answer != null && !hasAnswered) {
+                hasAnswered = true
+                untilMillis = minOf(untilMillis, nowMillis + MAX_REPORT_WAIT_MILLIS)
+            }
+            if (nowMillis >= untilMillis) return null
+            delay(RETRY_INTERVAL_MILLIS)
+        }
+    }
+
+    /** Records that [server] has written the first event that this instance has seen. */
+    fun recordFirstEvent(server: Backend) {
+        if (request.route.repeatability != Repeatability.RESUMABLE) return
+        if (version == null) version = server.version
+        versions.record(request.head.resumedRequestId ?: request.head.requestId, server.version)
+    }
+
+    private companion object {
+        /** Longer than the lease of a leader that was lost, and the next election. */
+        const val MAX_LEADER_WAIT_MILLIS = 3_000L
+
+        /** In this time the reports of streams reach a leader, also a new one. */
+        const val MAX_REPORT_WAIT_MILLIS = 600L
+
+        const val RETRY_INTERVAL_MILLIS = 50L
+        const val RETRY_AFTER_MILLIS = 500L
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
@@ -56,7 +56,8 @@
     private val scope = CoroutineScope(SupervisorJob() + eventLoop)
     private val codec = FrameCodec(LeaderMessage.serializer())
     private val reportSignal = Channel<Unit>(Channel.CONFLATED)
-    private val loanRequests = ArrayDeque<LeaderMessage.LoanRequest>()
+    private val outbox = ArrayDeque<LeaderMessage>()
+    private val streamInterval = MinInterval(STREAM_INTERVAL_MILLIS)
     private val reportInterval = MinInterval(REPORT_INTERVAL_MILLIS)
     private val urgentReportInterval = MinInterval(URGENT_REPORT_INTERVAL_MILLIS)
     private var isUrgentReportDue = false
@@ -77,6 +78,15 @@
         reportSignal.trySend(Unit)
     }
 
+    /** Sends the versions of new streams, unless they were sent a moment ago. */
+    public fun reportStreams() {
+        val nowMillis = clock.monotonicMillis()
+        if (!isConnected || streamInterval.waitMillis(nowMillis) > 0) return
+        streamInterval.recordRun(nowMillis)
+        outbox.addLast(LeaderMessage.StreamsBegun(member.takeUnreportedStreams()))
+        reportSignal.trySend(Unit)
+    }
+
     /** Sends all connected instances the changes that they have not yet received. */
     public fun notifyMembers() {
         memberSessions.forEach { it.requestState() }
@@ -93,8 +103,8 @@
             loans.handleAnswer(answer)
             return true
         }
-        if (!isConnected || loanRequests.size >= MAX_LOAN_REQUESTS) return false
-        loanRequests.addLast(request)
+        if (!isConnected || outbox.size >= MAX_OUTBOX_MESSAGES) return false
+        outbox.addLast(request)
         reportSignal.trySend(Unit)
         return true
     }
@@ -172,7 +182,7 @@
     private suspend fun runMemberSession(socket: Socket): Unit = coroutineScope {
         val output = socket.openWriteChannel(autoFlush = false)
         val input = socket.openReadChannel()
-        loanRequests.clear()
+        outbox.clear()
         launch { writeReports(output) }
         isConnected = true
         var term: Long? = null
@@ -198,7 +208,7 @@
     private suspend fun writeReports(output: ByteWriteChannel) {
         isUrgentReportDue = true
         while (true) {
-            while (loanRequests.isNotEmpty()) codec.write(output, loanRequests.removeFirst())
+            while (outbox.isNotEmpty()) codec.write(output, outbox.removeFirst())
             if (awaitReportDue()) codec.write(output, member.nextReport())
         }
     }
@@ -265,7 +275,10 @@
         const val CONNECT_TIMEOUT_MILLIS = 400L
 
         /** Bounds the queue while the connection is slow; further requests are refused. */
-        const val MAX_LOAN_REQUESTS = 256
+        const val MAX_OUTBOX_MESSAGES = 256
+
+        /** Shorter than a client takes to notice a broken stream and to take it up again. */
+        const val STREAM_INTERVAL_MILLIS = 100L
 
         /** Each attempt reads the log once; an election takes several times as long as this. */
         const val RECONNECT_DELAY_MILLIS = 400L
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -16,6 +16,8 @@
 import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.prompt.CrashAnalyzer
+import mustarddale.serving.version.StreamRecords
+import mustarddale.serving.version.VersionedStreams
 import mustarddale.time.Clock
 import mustarddale.time.MinInterval
 
@@ -49,6 +51,9 @@
     /** The version of the verdicts on requests, which grows with each change. */
     public val verdictVersion: Long get() = newestTerm?.trials?.version ?: 0
 
+    /** The number of the newest stream whose version is known. */
+    public val lastStreamNumber: Long get() = newestTerm?.streams?.lastNumber ?: 0
+
     /** Called when an engine's contents have changed or an instance got its first shares. */
     public var onStateChanged: () -> Unit = {}
 
@@ -60,10 +65,28 @@
         current.placement.handleReport(report, nowMillis)
         current.handlePromptReport(report, nowMillis)
         current.handleTrialReport(report, nowMillis)
+        handleStreams(report.streams)
         if (current.permits.handleReport(report)) onStateChanged()
         return true
     }
 
+    /** Processes the versions of [streams] that an instance has reported. */
+    public fun handleStreams(streams: List<VersionedStreams>) {
+        val current = activeTerm() ?: return
+        val nowMillis = clock.monotonicMillis()
+        streams.forEach { group ->
+            group.requests.forEach { current.streams.put(it, group.version, nowMillis) }
+        }
+    }
+
+    /** Returns the streams after [number] if [member] is one of those that keep them. */
+    public fun streamsToKeep(member: String, number: Long): List<VersionedStreams> {
+        val current = activeTerm() ?: return emptyList()
+        val spacing = (current.shares.holderCount / STREAM_KEEPERS).coerceAtLeast(1)
+        if (current.shares.rankOf(member) % spacing != 0) return emptyList()
+        return VersionedStreams.of(current.streams.since(number))
+    }
+
     /**
      * Returns the message that responds to report [reportNumber] of [member]; null if this
      * instance is not the leader.
@@ -90,6 +113,7 @@
             engines = current.contents.changesSince(seenVersion, nowMillis),
             promptBlocks = current.crashes.blocks(nowMillis),
             requestVerdicts = current.trials.verdicts(nowMillis),
+            mixedServices = state.streamVersions.history.mixedServices(nowMillis),
             serverLimits = current.permits.limits,
             rank = current.shares.rankOf(member)
         )
@@ -103,6 +127,11 @@
             is LeaderMessage.PermitWanted -> current.permits.lend(member, request)
             is LeaderMessage.ProbeWanted -> lendProbe(current, request)
             is LeaderMessage.TrialWanted -> lendTrial(current, request)
+            is LeaderMessage.VersionWanted -> LeaderMessage.LoanAnswer(
+                request.number,
+                waitMillis = 0,
+                version = current.streams.versionOf(request.stream)
+            )
         }
     }
 
@@ -160,7 +189,8 @@
             shareHolders =
             current?.shares?.holdersForRecord() ?: newestRecord?.shareHolders.orEmpty(),
             requestVerdicts = current?.trials?.lastingVerdicts(clock.monotonicMillis())
-                ?: newestRecord?.requestVerdicts.orEmpty()
+                ?: newestRecord?.requestVerdicts.orEmpty(),
+            mixedServices = state.streamVersions.history.mixedServices(clock.monotonicMillis())
         )
     }
 
@@ -168,6 +198,7 @@
         val contents = EngineContentsRegistry { onStateChanged() }
         val permits = PermitController(leadership, state, clock)
         val crashes = CrashAnalyzer()
+        val streams = StreamRecords(MAX_STREAMS)
         val trials = RequestTrials(leadership.sinceMillis)
         private val blockInterval = MinInterval(BLOCK_INTERVAL_MILLIS)
         val shares = ShareController(leadership, state, clock) { onStateChanged() }
@@ -269,6 +300,12 @@
         /** Loads take 400 ms or more, so this is fast enough; urgent orders do not wait for it. */
         const val TICK_INTERVAL_MILLIS = 50L
 
+        /** The streams that a large fleet begins within the lifetime of a record. */
+        const val MAX_STREAMS = 65_536
+
+        /** Enough that a failure domain or some instances can be lost with the leader. */
+        const val STREAM_KEEPERS = 3
+
         /** The analysis takes up to 10 ms when thousands of requests have lost their servers. */
         const val BLOCK_INTERVAL_MILLIS = 200L
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLoans.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderLoans.kt
@@ -90,6 +90,13 @@
             LeaderMessage.TrialWanted(it, digest, server.service, server.run)
         }?.waitMillis
 
+    /**
+     * Requests the version that began the stream of [request]; the answer has none if the leader
+     * does not know it, and is null if the leader gave no answer.
+     */
+    public suspend fun requestVersion(request: String): LeaderMessage.LoanAnswer? =
+        request(TOKEN_TIMEOUT_MILLIS) { LeaderMessage.VersionWanted(it, request) }
+
     private suspend fun request(
         timeoutMillis: Long,
         message: (Long) -> LeaderMessage.LoanRequest
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -14,6 +14,8 @@
 import mustarddale.serving.limit.ServerLimit
 import mustarddale.serving.prompt.CrashSuspect
 import mustarddale.serving.prompt.PromptBlock
+import mustarddale.serving.version.ServiceVersions
+import mustarddale.serving.version.VersionedStreams
 
 /** A message between an instance and the leader. */
 @Serializable
@@ -39,6 +41,7 @@
      * @property endedTrials suspected requests whose trials ended without an answer or a loss.
      * @property servingServers servers that were lost and have responded since the last report.
      * @property requestVerdicts the verdicts on requests that this instance knows of.
+     * @property streams streams whose versions the leader may not know.
      * @property serverLimits the limits that servers have set, as this instance knows them.
      * @property limitObservations what it has learned of them since the last report.
      */
@@ -64,6 +67,7 @@
         public val endedTrials: Set<String> = emptySet(),
         public val servingServers: Set<String> = emptySet(),
         public val requestVerdicts: List<RequestVerdict> = emptyList(),
+        public val streams: List<VersionedStreams> = emptyList(),
         public val serverLimits: List<ServerLimit> = emptyList(),
         public val limitObservations: List<LimitObservation> = emptyList()
     ) : LeaderMessage
@@ -81,6 +85,8 @@
      * @property backends new records of the backend server list.
      * @property promptBlocks all blocks of requests by parts of their prompts.
      * @property requestVerdicts all verdicts on requests, null if they are as in the last message.
+     * @property streams streams of all instances, for this instance to keep.
+     * @property mixedServices the services that have lately had several software versions.
      * @property serverLimits all limits that servers have set.
      * @property rank the place of the instance among [instances] if there is no leader to ask.
      */
@@ -99,10 +105,17 @@
         public val backends: BackendNews? = null,
         public val promptBlocks: List<PromptBlock> = emptyList(),
         public val requestVerdicts: List<RequestVerdict>? = null,
+        public val streams: List<VersionedStreams> = emptyList(),
+        public val mixedServices: List<ServiceVersions> = emptyList(),
         public val serverLimits: List<ServerLimit> = emptyList(),
         public val rank: Int = 0
     ) : LeaderMessage
 
+    /** New streams of an instance whose versions matter, sent between its reports. */
+    @Serializable
+    @SerialName("streams-begun")
+    public data class StreamsBegun(public val streams: List<VersionedStreams>) : LeaderMessage
+
     /** An instance's request for something that only the leader can grant. */
     @Serializable
     public sealed interface LoanRequest : LeaderMessage {
@@ -159,17 +172,25 @@
         public val run: String
     ) : LoanRequest
 
+    /** A request for the version that began the stream of the request [stream]. */
+    @Serializable
+    @SerialName("version-wanted")
+    public data class VersionWanted(override val number: Long, public val stream: String) :
+        LoanRequest
+
     /**
      * Grants the [LoanRequest] with [number] if [waitMillis] is 0, else says when to ask again.
      *
      * @property delayMillis the time until a granted permit becomes valid.
+     * @property version the version of a stream, null if it is not known.
      */
     @Serializable
     @SerialName("loan-answer")
     public data class LoanAnswer(
         public val number: Long,
         public val waitMillis: Long,
-        public val delayMillis: Long = 0
+        public val delayMillis: Long = 0,
+        public val version: String? = null
     ) : LeaderMessage
 
     /** Tells an instance that the sender is not the leader. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -10,6 +10,7 @@
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.limit.RotationPlace
 import mustarddale.serving.quota.EffectiveShares
+import mustarddale.serving.version.VersionedStreams
 import mustarddale.time.Clock
 
 /**
@@ -79,11 +80,16 @@
             endedTrials = state.suspectedRequests.takeEndedTrials(),
             servingServers = state.suspectedRequests.takeServingServers(),
             requestVerdicts = state.suspectedRequests.current(),
+            streams = state.streamVersions.takeUnreported(),
             serverLimits = state.limits.known(),
             limitObservations = state.limits.takeObservations()
         )
     }
 
+    /** Returns the streams whose versions the leader may not know, once. */
+    public fun takeUnreportedStreams(): List<VersionedStreams> =
+        state.streamVersions.takeUnreported()
+
     /** Applies the leader's [message], unless it is from an earlier term. */
     public fun apply(message: LeaderMessage.State) {
         if (message.term < term) return
@@ -95,6 +101,7 @@
             term = message.term
             sharesRevision = 0
             state.promptObservations.forgetReports()
+            state.streamVersions.forgetReports()
         }
         leaderSentMillis = message.sentMillis
         effectiveShares.onLeaderMessage(nowMillis)
@@ -110,6 +117,8 @@
             state.residency.update(engine.engine, engine.models, expectedAtMillis)
         }
         state.promptBlocks.update(message.promptBlocks)
+        state.streamVersions.history.merge(message.mixedServices, nowMillis)
+        state.streamVersions.keep(message.streams)
         message.requestVerdicts?.let { state.suspectedRequests.update(it) }
         state.instanceCount = message.instances.coerceAtLeast(1)
         state.limits.update(message.serverLimits, sentMillis[message.answers])
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
@@ -26,6 +26,7 @@
     private var lastReport: LeaderMessage.Report? = null
     private var isStateDue = false
     private var sentVersion = 0L
+    private var sentStreamNumber = 0L
     private var sentVerdictVersion: Pair<Long, Long>? = null
     private var sentEndOffset: Long? = null
     private var sentEra = 0L
@@ -45,6 +46,8 @@
                 requestState()
             }
 
+            is LeaderMessage.StreamsBegun -> controller.handleStreams(message.streams)
+
             is LeaderMessage.LoanRequest -> {
                 val member = lastReport?.instance.orEmpty()
                 answers.addLast(controller.lend(member, message) ?: LeaderMessage.NotLeading)
@@ -88,7 +91,10 @@
         val fromOffset = listOfNotNull(sentEndOffset, reportedOffset).maxOrNull()
         val newRecords = fromOffset?.let { backends.recordsSince(it) }
         if (newRecords != null) sentEndOffset = newRecords.fromOffset + newRecords.records.size
+        val streams = controller.streamsToKeep(report.instance, sentStreamNumber)
+        sentStreamNumber = controller.lastStreamNumber
         return state.copy(
+            streams = streams,
             backends = newRecords?.toMessage(),
             requestVerdicts = state.requestVerdicts.takeIf { hasNewVerdicts }
         )
--- a/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
@@ -21,6 +21,8 @@
  * @property outputTokens the part of [tokens] that the engine generates.
  * @property callerTimeoutMillis how long the caller waits, null if it sets no limit.
  * @property lastEventId the event after which a stream is to continue, null for a whole stream.
+ * @property resumedRequestId the id of the request that brought the first event of the stream that
+ *   is to continue, null if the caller names none.
  * @property promptParts ids of the parts of the prompt that other requests may share.
  * @property prompt the model and the prompt as the caller names them, null if it names none.
  */
@@ -34,6 +36,7 @@
     public val outputTokens: Double,
     public val callerTimeoutMillis: Long?,
     public val lastEventId: String?,
+    public val resumedRequestId: String?,
     public val promptParts: List<String>,
     public val prompt: String? = null
 )
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -53,6 +53,9 @@
     /** The requests that may crash servers. */
     public val suspectedRequests: SuspectedRequests = SuspectedRequests(clock)
 
+    /** The software versions that began streams. */
+    public val streamVersions: StreamVersions = StreamVersions(clock)
+
     /** The limits that backend servers have set for requests of all instances. */
     public val limits: ServerLimits = ServerLimits(clock, ::onLimitsChanged)
 
@@ -100,6 +103,7 @@
     public fun apply(changes: List<BackendChange>) {
         val nowMillis = clock.monotonicMillis()
         changes.forEach { apply(it, nowMillis) }
+        streamVersions.recordListed(directory.backends)
         if (changes.isNotEmpty()) wakeModelWaiters()
     }
 
@@ -173,9 +177,16 @@
         }
     }
 
-    /** Returns when an engine of [service] should first hold [model], null if none is expected. */
-    public fun expectedAtMillis(service: String, model: String): Long? = directory.backends
-        .filter { it.service == service && acceptsRequests(it) }
+    /**
+     * Returns when an engine of [service] that [isUsable] should first hold [model], null if none
+     * is expected.
+     */
+    public fun expectedAtMillis(
+        service: String,
+        model: String,
+        isUsable: (Backend) -> Boolean
+    ): Long? = directory.backends
+        .filter { it.service == service && acceptsRequests(it) && isUsable(it) }
         .mapNotNull { residency.expectedAtMillis(it.id, model) }
         .minOrNull()
 
