--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -49,15 +49,20 @@
             state.recordDemand(ServiceModel(request.service, it), request.head.outputTokens)
         }
         state.retryBudgetOf(request.service).recordRequest(clock.monotonicMillis())
-        versionGate.refusal()?.let { return refuseOrFail(it) }
+        val refusal = versionGate.refusal() ?: tryServers()
+        refusal?.let { refuseOrFail(it) }
+    }
+
+    /** Returns why the request must not be sent on, null if it has ended. */
+    private suspend fun tryServers(): Refusal? {
         while (true) {
-            promptGate.refusal()?.let { return refuseOrFail(it) }
-            val chosen = chooseBackend() ?: return
+            promptGate.refusal()?.let { return it }
+            val chosen = chooseBackend() ?: return null
             // The request may have waited for its model.
-            promptGate.refusal()?.let { return refuseOrFail(it) }
-            trialGate.refusal(chosen.backend)?.let { return refuseOrFail(it) }
+            val refusal = promptGate.refusal() ?: trialGate.refusal(chosen.backend)
+            if (refusal != null) return refusal
             val isFinal = sendTo(chosen)
-            if (isFinal) return
+            if (isFinal) return null
             triedBackendIds += chosen.backend.id
         }
     }
