Prove a deadly request by trials that it lost alone, or by two

Now a lost trial proves a suspect only if no other suspect was at that server, else the second one does.

--- a/core/src/main/kotlin/mustarddale/serving/crash/RequestTrials.kt
+++ b/core/src/main/kotlin/mustarddale/serving/crash/RequestTrials.kt
@@ -1,9 +1,9 @@
 /*
  * Finds the requests that crash servers. A request that was unanswered when its server was lost is
  * a suspect; it is sent again only as a trial, alone among suspects at its server, so that the
- * next loss says more than the first. A suspect that has lost a trial is blocked if it alone
- * explains all the losses of servers in its service, or after its third loss. An answer acquits it.
- * A server that serves requests after its connection was lost has not crashed.
+ * next loss says more than the first. A suspect is blocked if it was alone when it lost a trial and
+ * explains all other losses of that time, and else when it loses its second trial. An answer
+ * acquits it. A server that serves requests after its connection was lost has not crashed.
  */
 package mustarddale.serving.crash
 
@@ -18,12 +18,14 @@
 
     /** Records that the request [digest] to [service] had no answer when [server] was lost. */
     public fun recordLost(digest: String, service: String, server: String, nowMillis: Long) {
-        val trial = trialsByServer.remove(server)
         val suspect = suspectOf(digest, service, nowMillis)
+        if (trialsByServer[server]?.digest == digest) {
+            trialsByServer.remove(server)
+            suspect.serversLostInTrials += server
+        }
         if (suspect.lossMillisByServer.putIfAbsent(server, nowMillis) != null) return
         suspect.isWatched = true
         suspect.changedAtMillis = nowMillis
-        if (trial?.digest == digest) suspect.hasLostTrial = true
         version++
     }
 
@@ -139,19 +141,19 @@
 
     private fun isGuilty(suspect: Suspect, nowMillis: Long): Boolean {
         if (suspect.isBlocked || suspect.hasUnsettledLosses(nowMillis)) return false
-        if (suspect.lossMillisByServer.size < MIN_CRASHES || !suspect.hasLostTrial) return false
-        return suspect.lossMillisByServer.size >= MAX_CRASHES || isSoleCause(suspect)
+        if (suspect.lossMillisByServer.size < MIN_CRASHES) return false
+        return suspect.serversLostInTrials.size >= MAX_LOST_TRIALS || isSoleCause(suspect)
     }
 
-    /** Whether no other suspect explains the losses of [suspect], and it explains all others. */
+    /** Whether [suspect] was alone when it lost a trial, and explains all losses of the time. */
     private fun isSoleCause(suspect: Suspect): Boolean {
         val sinceMillis = suspect.lossMillisByServer.values.min() - CONCURRENCY_MILLIS
         val others = suspects.values.filter { it !== suspect && it.service == suspect.service }
+        val lostWithOthers = others.flatMap { it.lossMillisByServer.keys }.toSet()
+        if (lostWithOthers.containsAll(suspect.serversLostInTrials)) return false
         val explained = others.filter { it.isBlocked }.flatMap { it.lossMillisByServer.keys }
         val lost = others.flatMap { it.lossMillisByServer.filterValues { it >= sinceMillis }.keys }
-        val rivals = others.filter { !it.isBlocked }.map { it.lossMillisByServer.keys }
-        val own = suspect.lossMillisByServer.keys
-        return own.containsAll(lost - explained.toSet()) && rivals.none { it.containsAll(own) }
+        return suspect.lossMillisByServer.keys.containsAll(lost - explained.toSet())
     }
 
     private fun dropExpired(nowMillis: Long) {
@@ -170,7 +172,7 @@
         val lossMillisByServer = LinkedHashMap<String, Long>()
         var isBlocked = false
         var isAdopted = false
-        var hasLostTrial = false
+        val serversLostInTrials = HashSet<String>()
         var isWatched = false
         var probesLeft = MAX_PROBES
         var probeAtMillis = 0L
@@ -207,8 +209,8 @@
         /** A single loss has other causes more often than not. */
         private const val MIN_CRASHES = 2
 
-        /** The platform excuses three crashes by one request. */
-        private const val MAX_CRASHES = 3
+        /** One trial can be lost by chance, if another request crashes its server. */
+        private const val MAX_LOST_TRIALS = 2
 
         /** Together with a trial in flight, fewer than the platform allows after the crashes. */
         private const val MAX_PROBES = 2
--- a/core/src/test/kotlin/mustarddale/serving/crash/RequestTrialsTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/crash/RequestTrialsTest.kt
@@ -53,6 +53,17 @@
             },
             listOf("a")
         ),
+        Case(
+            "a third loss, in a trial that ended others too",
+            {
+                loseTrialOfA()
+                loseAt(1_060, "b", "s3")
+                tryAt(2_000, "a", "s4")
+                loseAt(2_049, "c", "s4")
+                loseAt(2_050, "a", "s4")
+            },
+            listOf("a")
+        ),
         Case(
             "three losses without a trial",
             { listOf("s1", "s2", "s3").forEach { loseAt(1_000, "a", it) } },
