Keep probes and permits of suspected requests within their times

Now only news of a block changes a block, only blocks last, and a request with such a permit does not wait. RequestTrialsTest has the older verdict.

--- a/core/src/main/kotlin/mustarddale/serving/crash/RequestTrials.kt
+++ b/core/src/main/kotlin/mustarddale/serving/crash/RequestTrials.kt
@@ -55,16 +55,16 @@
     /** Takes over [verdict] from an instance, or from the record of an earlier leader. */
     public fun adopt(verdict: RequestVerdict, nowMillis: Long) {
         val suspect = suspectOf(verdict.digest, UNKNOWN_SERVICE, nowMillis)
-        if (suspect.isAdopted && suspect.isBlocked == verdict.isBlocked &&
-            suspect.probesLeft <= verdict.probesLeft
-        ) {
+        val isNews = !suspect.isBlocked || verdict.probesLeft < suspect.probesLeft
+        if (verdict.isBlocked && isNews) {
+            suspect.isAdopted = true
+            suspect.isBlocked = true
+            suspect.probesLeft = minOf(suspect.probesLeft, verdict.probesLeft)
+            suspect.probeAtMillis = nowMillis + verdict.probeInMillis
+        } else if (suspect.isWatched) {
             return
         }
-        suspect.isAdopted = true
         suspect.isWatched = true
-        if (verdict.isBlocked && !suspect.isBlocked) suspect.block(nowMillis)
-        suspect.probesLeft = minOf(suspect.probesLeft, verdict.probesLeft)
-        suspect.probeAtMillis = nowMillis + verdict.probeInMillis
         version++
     }
 
--- a/core/src/test/kotlin/mustarddale/serving/crash/RequestTrialsTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/crash/RequestTrialsTest.kt
@@ -117,6 +117,7 @@
         assertEquals(0, tryAt(7_000, "a", "s3"))
         val next = RequestTrials(startMillis = 8_000)
         trials.lastingVerdicts(8_000).forEach { next.adopt(it, 8_000) }
+        next.adopt(RequestVerdict("a", isBlocked = false, probesLeft = 2, probeInMillis = 0), 8_000)
         val waits = listOf(8_000L, 9_000L, 607_000L, 608_000L, 9_999_000L).map {
             next.requestTrial("a", SERVICE, "s4", it)
         }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -59,7 +59,8 @@
             promptGate.refusal()?.let { return it }
             val chosen = chooseBackend() ?: return null
             // The request may have waited for its model.
-            val refusal = promptGate.refusal() ?: trialGate.refusal(chosen.backend)
+            val refusal =
+                promptGate.refusal() ?: trialGate.refusal(chosen.backend, !chosen.needsPermit)
             if (refusal != null) return refusal
             val isFinal = sendTo(chosen)
             if (isFinal) return null
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/TrialGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/TrialGate.kt
@@ -23,10 +23,14 @@
     private val suspects = state.suspectedRequests
     private var isTrial = false
 
-    /** Waits until the request may be sent to [target]; returns why it must not, null if it may. */
-    suspend fun refusal(target: Backend): Refusal? {
+    /**
+     * Returns why the request must not be sent to [target], null if it may be; waits for that if it
+     * [mayWait], as it may not with a permit that expires.
+     */
+    suspend fun refusal(target: Backend, mayWait: Boolean): Refusal? {
+        val maxWaitMillis = if (mayWait) MAX_WAIT_MILLIS else 0
         val untilMillis =
-            minOf(clock.monotonicMillis() + MAX_WAIT_MILLIS, request.firstByteDeadlineAtMillis)
+            minOf(clock.monotonicMillis() + maxWaitMillis, request.firstByteDeadlineAtMillis)
         while (!suspects.isEmpty && suspects.isSuspected(request.digest)) {
             val waitMillis = waitMillis(target)
             isTrial = waitMillis == 0L
