Report the versions of streams again over a new connection

Found by reading the change: records that were sent, or waited to be sent, over a connection to the leader that then broke counted as reported. A member sends all of its records over each new connection.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
@@ -183,6 +183,7 @@
         val output = socket.openWriteChannel(autoFlush = false)
         val input = socket.openReadChannel()
         outbox.clear()
+        member.handleConnected()
         launch { writeReports(output) }
         isConnected = true
         var term: Long? = null
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -86,6 +86,11 @@
         )
     }
 
+    /** Handles a new connection to the leader, which may lack reports sent over an earlier one. */
+    public fun handleConnected() {
+        state.streamVersions.forgetReports()
+    }
+
     /** Returns the streams whose versions the leader may not know, once. */
     public fun takeUnreportedStreams(): List<VersionedStreams> =
         state.streamVersions.takeUnreported()
