--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -195,13 +195,13 @@
         leaderController.onStateChanged = leaderConnections::notifyMembers
         feeds.backends.onRead = leaderConnections::notifyMembers
         Metrics.addRegistry(metrics)
-        Metrics.gauge("mustarddale.requests.open", callerService) { it.openRequests.toDouble() }
-        Metrics.gauge("mustarddale.backends", state) { it.directory.backends.size.toDouble() }
-        Metrics.gauge("mustarddale.instances", state) { (it.instanceCount ?: 0).toDouble() }
-        Metrics.gauge("mustarddale.server.limits", state) { it.limits.size.toDouble() }
-        Metrics.gauge("mustarddale.prompt.blocks", state) { it.promptBlocks.size.toDouble() }
-        Metrics.gauge("mustarddale.stream.records", state) { it.streamVersions.size.toDouble() }
-        Metrics.gauge("mustarddale.request.blocks", state) {
+        metrics.gauge("mustarddale.requests.open", callerService) { it.openRequests.toDouble() }
+        metrics.gauge("mustarddale.backends", state) { it.directory.backends.size.toDouble() }
+        metrics.gauge("mustarddale.instances", state) { (it.instanceCount ?: 0).toDouble() }
+        metrics.gauge("mustarddale.server.limits", state) { it.limits.size.toDouble() }
+        metrics.gauge("mustarddale.prompt.blocks", state) { it.promptBlocks.size.toDouble() }
+        metrics.gauge("mustarddale.stream.records", state) { it.streamVersions.size.toDouble() }
+        metrics.gauge("mustarddale.request.blocks", state) {
             it.suspectedRequests.blockedCount.toDouble()
         }
         server.start().join()
