Shorten the start of an instance

A start on a third of a core takes seconds, in which callers are refused. A profile of `entry` (async-profiler, by CPU time) showed what is not needed there: the search for a logging configuration with its plugins and XML, the TLS library and its certificates, the flight recorder that Netty registers, four compiler threads, and classes that the archive lacked because the training run had one instance, which exchanged no messages and served HTTP/2.

--- a/bench/src/main/kotlin/mustarddale/bench/Main.kt
+++ b/bench/src/main/kotlin/mustarddale/bench/Main.kt
@@ -1,5 +1,6 @@
 package mustarddale.bench
 
+import java.nio.file.Path
 import kotlin.system.exitProcess
 import mustarddale.bench.loadbalancing.LoadBalancingReport
 
@@ -17,8 +18,12 @@
 
         "policy" -> LoadBalancingReport().run()
 
+        "start" -> StartReport(Path.of(arguments[1])).run()
+
         else -> {
-            System.err.println("usage: bench control|path|takeover|placement|policy")
+            System.err.println(
+                "usage: bench control|path|takeover|placement|policy|start DIRECTORY"
+            )
             exitProcess(2)
         }
     }
--- a/cli/src/main/kotlin/mustarddale/cli/Main.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/Main.kt
@@ -4,11 +4,13 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import mustarddale.cli.demo.DemoCommand
+import mustarddale.cli.logging.ProgramLogging
 
 /** Runs the subcommand that [arguments] select. */
 @OptIn(ExperimentalCli::class)
 public fun main(arguments: Array<String>) {
     System.setProperty("com.linecorp.armeria.transportType", "epoll")
+    ProgramLogging.install()
     val parser = ArgParser(Program.NAME)
     parser.subcommands(
         ServeCommand(),
