--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -5,6 +5,7 @@
 package mustarddale.instance.serving.leader
 
 import mustarddale.instance.serving.DecisionLog
+import mustarddale.instance.serving.feed.Feeds
 import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.feed.RelayedRecords
 import mustarddale.instance.serving.state.ServingState
@@ -16,12 +17,12 @@
 /**
  * Reports for [instance] to the leader, and applies the leader's messages to [state].
  *
- * @param backends the feed of the backend server list, which takes records from the leader.
+ * @param feeds the feeds, which take records from the leader.
  * @param run the id of this process, which a restart replaces.
  */
 public class MemberAgent(
     private val state: ServingState,
-    private val backends: KeyedFeed,
+    private val feeds: Feeds,
     private val instance: String,
     private val run: String,
     private val clock: Clock
@@ -55,8 +56,8 @@
             confirmedRevision = sharesRevision,
             shares = shares,
             wantedTokens = state.quota.takeDemand(),
-            backendOffset = backends.offset,
-            backendEra = backends.era,
+            operators = positionOf(feeds.operators),
+            backends = positionOf(feeds.backends),
             heardMillis = leaderSentMillis,
             demand = state.takeDemand().map { (service, samples) ->
                 ServiceDemand(
@@ -111,12 +112,8 @@
         leaderSentMillis = message.sentMillis
         effectiveShares.onLeaderMessage(nowMillis)
         state.residency.recordLeaderContact(nowMillis)
-        message.backends?.let { news ->
-            val records = news.records.map { it.bytes }
-            backends.applyRelayed(
-                RelayedRecords(news.fromOffset, records, news.ageMillis, news.era)
-            )
-        }
+        applyNews(message.operators, feeds.operators)
+        applyNews(message.backends, feeds.backends)
         message.engines.forEach { engine ->
             val expectedAtMillis = engine.expected.mapValues { nowMillis + it.value }
             state.residency.update(engine.engine, engine.models, expectedAtMillis)
@@ -137,6 +134,15 @@
         if (message.engines.isNotEmpty()) state.wakeModelWaiters()
     }
 
+    private fun positionOf(feed: KeyedFeed): FeedPosition? =
+        feed.offset?.let { FeedPosition(it, feed.era) }
+
+    private fun applyNews(news: FeedNews?, feed: KeyedFeed) {
+        if (news == null) return
+        val records = news.records.map { it.bytes }
+        feed.applyRelayed(RelayedRecords(news.fromOffset, records, news.ageMillis, news.era))
+    }
+
     /** Handles the message of the leader of [endedTerm] that it is no longer the leader. */
     public fun handleLeadershipEnded(endedTerm: Long?) {
         if (endedTerm != term) return
