Heed servers that leave or ask for rest in their responses

Nothing read `Server-Leaving` or the `Retry-After` of a server's 503, so an instance sent to a server whose entry still said ready, and again at once to one that wanted nothing for a time.

A run that says that it leaves counts as draining in the directory, whatever its entry says, until another run replaces it; instances report it to the leader, which tells the others, and engine reports count too. If all servers rest, callers are refused at once with the shortest time.

--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendDirectory.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendDirectory.kt
@@ -2,7 +2,8 @@
  * The backend servers in the platform's list, as this instance knows them. While the list is
  * unavailable, entries expire because servers cannot renew them. A server whose entry is missing
  * after such an outage is therefore kept for a short grace period, in which a server that is still
- * running renews its entry.
+ * running renews its entry. A server that has said that it leaves counts as draining, whatever its
+ * entry says.
  */
 package mustarddale.serving.backend
 
@@ -24,10 +25,17 @@
     private val entries = LinkedHashMap<String, Backend>()
     private val graceEndById = HashMap<String, Long>()
     private var graceEndMillis = Long.MIN_VALUE
+    private val leavingRuns = LinkedHashSet<String>()
 
     /** The listed servers and those within their grace period. */
     public val backends: Collection<Backend> get() = entries.values
 
+    /** The runs of the listed servers that have said that they leave. */
+    public val leavingListedRuns: Set<String>
+        get() = entries.values.mapNotNullTo(HashSet()) { backend ->
+            backend.run.takeIf { it in leavingRuns }
+        }
+
     /** Returns the server with the given [id], null if it is not known. */
     public fun find(id: String): Backend? = entries[id]
 
@@ -37,8 +45,16 @@
         graceEndById.keys.forEach { graceEndById[it] = graceEndMillis }
     }
 
-    /** Adds or updates the entry of [backend]; returns null if nothing has changed. */
-    public fun put(backend: Backend): BackendChange? {
+    /** Records that the server [run] leaves; returns null if nothing has changed. */
+    public fun markLeaving(run: String): BackendChange? {
+        if (!leavingRuns.add(run)) return null
+        if (leavingRuns.size > MAX_LEAVING_RUNS) leavingRuns.remove(leavingRuns.first())
+        return entries.values.find { it.run == run }?.let { put(it) }
+    }
+
+    /** Adds or updates the entry [listed]; returns null if nothing has changed. */
+    public fun put(listed: Backend): BackendChange? {
+        val backend = if (listed.run in leavingRuns) listed.copy(isDraining = true) else listed
         graceEndById.remove(backend.id)
         val before = entries.put(backend.id, backend)
         return when {
@@ -80,5 +96,8 @@
     internal companion object {
         /** Servers and operators write what is missing again within about 2 s of an outage. */
         const val EXPIRY_GRACE_MILLIS: Long = 2_200
+
+        /** More servers than leave while their entries can still be listed. */
+        private const val MAX_LEAVING_RUNS = 1_024
     }
 }
--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
@@ -32,6 +32,7 @@
     private var coldUntilMillis = 0L
     private var nextPermitMillis = 0L
     private var permitRefusedPriority = 0
+    private var restUntilMillis = 0L
 
     /** The number of this instance's requests that are in flight to the server. */
     public var inFlight: Int = 0
@@ -101,6 +102,15 @@
     public fun permitWaitMillis(nowMillis: Long): Long =
         (nextPermitMillis - nowMillis).coerceAtLeast(0)
 
+    /** Records that the server wants no requests for [millis], unless it has asked for longer. */
+    public fun rest(millis: Long, nowMillis: Long) {
+        restUntilMillis = maxOf(restUntilMillis, nowMillis + millis.coerceAtMost(MAX_REST_MILLIS))
+    }
+
+    /** Returns the milliseconds for which the server wants no requests. */
+    public fun restWaitMillis(nowMillis: Long): Long =
+        (restUntilMillis - nowMillis).coerceAtLeast(0)
+
     /** Whether the last requests were lost, so that only one at a time should probe the server. */
     public fun isSuspected(nowMillis: Long): Boolean =
         nowMillis < suspectedUntilMillis || successiveLosses >= SUSPICION_LOSSES && inFlight > 0
@@ -141,6 +151,9 @@
          */
         const val SUSPICION_MILLIS = 500L
 
+        /** Bounds what an absurd time of a faulty server costs. */
+        const val MAX_REST_MILLIS = 3_600_000L
+
         /** Limits the interval between probes to 4 s. */
         const val MAX_DOUBLINGS = 3
     }
--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendSelector.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendSelector.kt
@@ -52,7 +52,7 @@
     /** The service has servers, but none holds the model. */
     public data object NotResident : BackendSelection
 
-    /** Every server with the model is full, cold, limited, suspected to be down or excluded. */
+    /** Every server with the model is full, cold, limited, resting, suspected to be down or excluded. */
     public data object NoCapacity : BackendSelection
 }
 
@@ -97,6 +97,7 @@
 
     private fun Candidate.hasCapacity(priority: Int, nowMillis: Long): Boolean {
         if (load.loadPerSlot(nowMillis) >= MAX_LOAD_PER_SLOT) return false
+        if (load.restWaitMillis(nowMillis) > 0) return false
         val needsPermit = requestsPerSecond != null || needsColdPermit(nowMillis)
         return !needsPermit || load.mayRequestPermit(priority, nowMillis)
     }
--- a/core/src/main/kotlin/mustarddale/serving/residency/EngineReport.kt
+++ b/core/src/main/kotlin/mustarddale/serving/residency/EngineReport.kt
@@ -15,6 +15,7 @@
  * @property waiting the number of requests that wait for a slot.
  * @property hostCachedModels the models that the engine can load from its host memory.
  * @property diskCachedModels the models that the engine can load from its own disk.
+ * @property isLeaving whether the engine shuts down and wants no new requests.
  */
 public data class EngineReport(
     public val models: ImmutableMap<String, ImmutableSet<String>>,
@@ -24,7 +25,8 @@
     public val running: Int,
     public val waiting: Int,
     public val hostCachedModels: ImmutableSet<String>,
-    public val diskCachedModels: ImmutableSet<String>
+    public val diskCachedModels: ImmutableSet<String>,
+    public val isLeaving: Boolean = false
 )
 
 /** What an engine is ordered to do with a model or an adapter. */
--- a/core/src/test/kotlin/mustarddale/serving/backend/BackendDirectoryTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/backend/BackendDirectoryTest.kt
@@ -61,6 +61,47 @@
         }
     }
 
+    @Test
+    fun `servers that get no new requests because they have said that they leave`() {
+        val run = backend("x").run
+        val cases = listOf(
+            Case("a listed server that leaves", { it.markLeaving(run) }, setOf("x")),
+            Case("a server that is listed later", { it.markLeaving(backend("z").run) }, setOf()),
+            Case(
+                "its entry is written again",
+                {
+                    it.markLeaving(run)
+                    it.put(backend("x", models = mapOf("m" to emptySet())))
+                },
+                setOf("x")
+            ),
+            Case(
+                "its entry was gone for a time",
+                {
+                    it.markLeaving(run)
+                    it.remove("x", 100)
+                    it.put(backend("x"))
+                },
+                setOf("x")
+            ),
+            Case(
+                "the server was restarted",
+                {
+                    it.markLeaving(run)
+                    it.put(backend("x", startUnixMillis = 2))
+                },
+                setOf()
+            )
+        )
+        cases.forEach { case ->
+            val directory = BackendDirectory()
+            directory.replaceAll(listOf(backend("x"), backend("y")), 0)
+            case.steps(directory)
+            val draining = directory.backends.filter { it.isDraining }.map { it.id }.toSet()
+            assertEquals(case.expected, draining, case.name)
+        }
+    }
+
     @Test
     fun `a restarted server with the same id is reported as added`() {
         val directory = BackendDirectory()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/PermitGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/PermitGate.kt
@@ -65,13 +65,15 @@
     }
 
     /**
-     * Returns the milliseconds until one of [candidates] may have permits again, null if none of
-     * them needs permits.
+     * Returns the milliseconds until one of [candidates] may accept requests again, null if none of
+     * them needs permits or rests.
      */
     fun waitMillis(candidates: List<Candidate>, nowMillis: Long): Long? {
         val model = request.head.model
         return candidates.filter { model == null || it.backend.holds(model) }
-            .map { it.load.permitWaitMillis(nowMillis) }
+            .map {
+                maxOf(it.load.permitWaitMillis(nowMillis), it.load.restWaitMillis(nowMillis))
+            }
             .filter { it > 0 }
             .minOrNull()
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -8,6 +8,7 @@
 import mustarddale.error.ErrorKind
 import mustarddale.error.Refusal
 import mustarddale.instance.serving.protocol.BackendAttempt
+import mustarddale.instance.serving.protocol.ResponseHead
 import mustarddale.instance.serving.state.ServiceModel
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendLoad
@@ -105,8 +106,8 @@
                 BackendSelection.NoCapacity -> {
                     val permitWaitMillis = permitGate.waitMillis(candidates, nowMillis)
                     refuseOrFail(
-                        "servers for ${requestedModel ?: "the service"} are full, cold, limited " +
-                            "or failing",
+                        "servers for ${requestedModel ?: "the service"} are full, cold, limited, " +
+                            "resting or failing",
                         permitWaitMillis?.let {
                             maxOf(it, RETRY_AFTER_MILLIS) + jitterMillis(RETRY_JITTER_MILLIS)
                         }
@@ -216,7 +217,7 @@
                 if (result.isMisdirected) {
                     request.head.model?.let { state.markAbsent(backend, it) }
                 } else {
-                    state.limits.record(backend, result.head.limit, sentMillis)
+                    recordNotices(backend, load, result.head, sentMillis)
                 }
                 AttemptResult(RequestOutcome.REFUSED, isFinal = false)
             }
@@ -231,12 +232,23 @@
                 possibleExecutions++
                 state.suspectedRequests.recordResponse(backend.run, sentMillis)
                 result.head.load?.let { load.report(it, nowMillis) }
-                state.limits.record(backend, result.head.limit, sentMillis)
+                recordNotices(backend, load, result.head, sentMillis)
                 handleResponse(backend, load, result, nowMillis)
             }
         }
     }
 
+    private fun recordNotices(
+        backend: Backend,
+        load: BackendLoad,
+        head: ResponseHead,
+        sentMillis: Long
+    ) {
+        state.limits.record(backend, head.limit, sentMillis)
+        state.notices.recordRest(backend, load, head.rest)
+        if (head.isLeaving) state.notices.markLeaving(setOf(backend.run))
+    }
+
     private suspend fun handleResponse(
         backend: Backend,
         load: BackendLoad,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -66,6 +66,7 @@
         current.handlePromptReport(report, nowMillis)
         current.handleTrialReport(report, nowMillis)
         handleStreams(report.streams)
+        state.notices.markLeaving(report.leavingServers)
         if (current.permits.handleReport(report)) onStateChanged()
         return true
     }
@@ -115,7 +116,8 @@
             requestVerdicts = current.trials.verdicts(nowMillis),
             mixedServices = state.streamVersions.history.mixedServices(nowMillis),
             serverLimits = current.permits.limits,
-            rank = current.shares.rankOf(member)
+            rank = current.shares.rankOf(member),
+            leavingServers = state.notices.leavingRuns
         )
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -44,6 +44,7 @@
      * @property streams streams whose versions the leader may not know.
      * @property serverLimits the limits that servers have set, as this instance knows them.
      * @property limitObservations what it has learned of them since the last report.
+     * @property leavingServers the runs of the servers that leave, as this instance knows them.
      */
     @Serializable
     @SerialName("report")
@@ -69,7 +70,8 @@
         public val requestVerdicts: List<RequestVerdict> = emptyList(),
         public val streams: List<VersionedStreams> = emptyList(),
         public val serverLimits: List<ServerLimit> = emptyList(),
-        public val limitObservations: List<LimitObservation> = emptyList()
+        public val limitObservations: List<LimitObservation> = emptyList(),
+        public val leavingServers: Set<String> = emptySet()
     ) : LeaderMessage
 
     /**
@@ -89,6 +91,7 @@
      * @property streams streams of all instances, for this instance to keep.
      * @property mixedServices the services that have lately had several software versions.
      * @property serverLimits all limits that servers have set.
+     * @property leavingServers the runs of all servers that leave.
      * @property rank the place of the instance among [instances] if there is no leader to ask.
      */
     @Serializable
@@ -110,7 +113,8 @@
         public val streams: List<VersionedStreams> = emptyList(),
         public val mixedServices: List<ServiceVersions> = emptyList(),
         public val serverLimits: List<ServerLimit> = emptyList(),
-        public val rank: Int = 0
+        public val rank: Int = 0,
+        public val leavingServers: Set<String> = emptySet()
     ) : LeaderMessage
 
     /** New streams of an instance whose versions matter, sent between its reports. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -83,7 +83,8 @@
             requestVerdicts = state.suspectedRequests.current(),
             streams = state.streamVersions.takeUnreported(),
             serverLimits = state.limits.known(),
-            limitObservations = state.limits.takeObservations()
+            limitObservations = state.limits.takeObservations(),
+            leavingServers = state.notices.leavingRuns
         )
     }
 
@@ -114,6 +115,7 @@
         state.residency.recordLeaderContact(nowMillis)
         applyNews(message.operators, feeds.operators)
         applyNews(message.backends, feeds.backends)
+        state.notices.markLeaving(message.leavingServers)
         message.engines.forEach { engine ->
             val expectedAtMillis = engine.expected.mapValues { nowMillis + it.value }
             state.residency.update(engine.engine, engine.models, expectedAtMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
@@ -110,6 +110,7 @@
             inventory.reportFailed(clock.monotonicMillis())
             return
         }
+        if (report.isLeaving) state.notices.markLeaving(setOf(inventory.engine.run))
         inventory.report(report, sentMillis, clock.monotonicMillis())
         publish(placement, inventory)
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
@@ -10,6 +10,7 @@
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.ModelRef
 import mustarddale.serving.backend.ReportedLoad
+import mustarddale.serving.backend.RestSignal
 import mustarddale.serving.limit.LimitSignal
 
 /**
@@ -78,11 +79,15 @@
  *
  * @property load the reported load, null if there is none.
  * @property limit what it says of the requests that the server accepts.
+ * @property rest for how long a server that refuses wants no requests.
+ * @property isLeaving whether the server shuts down and wants no new requests.
  */
 public data class ResponseHead(
     public val kind: ResponseKind,
     public val load: ReportedLoad?,
-    public val limit: LimitSignal
+    public val limit: LimitSignal,
+    public val rest: RestSignal = RestSignal.None,
+    public val isLeaving: Boolean = false
 )
 
 /** The HTTP headers of one platform. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -32,6 +32,9 @@
     /** All known backend servers. */
     public val directory: BackendDirectory = BackendDirectory()
 
+    /** What backend servers say of themselves in responses. */
+    public val notices: ServerNotices = ServerNotices(directory, clock, ::onServersLeaving)
+
     /** Delays requests that arrive while the process starts. */
     public val startupGate: StartupGate = StartupGate(clock)
 
@@ -126,12 +129,18 @@
             is BackendChange.Removed -> {
                 loadsByBackend.remove(change.backend.id)
                 limits.forget(change.backend)
+                notices.forget(change.backend)
                 residency.removeEngine(change.backend.id)
                 logBackendChange("backend_gone", change.backend)
             }
         }
     }
 
+    private fun onServersLeaving(changes: List<BackendChange>) {
+        apply(changes)
+        onUrgentDemand()
+    }
+
     private fun onLimitsChanged(runs: Set<String>) {
         directory.backends.filter { it.run in runs }.forEach { loadOf(it).resumePermits() }
         onUrgentDemand()
