--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendSelector.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendSelector.kt
@@ -52,7 +52,7 @@
     /** The service has servers, but none holds the model. */
     public data object NotResident : BackendSelection
 
-    /** Every server with the model is full, cold, limited, resting, suspected to be down or excluded. */
+    /** Every server with the model is full, cold, limited, resting, suspected or excluded. */
     public data object NoCapacity : BackendSelection
 }
 
--- a/core/src/test/kotlin/mustarddale/serving/backend/BackendSelectorTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/backend/BackendSelectorTest.kt
@@ -57,35 +57,6 @@
                 "y"
             ),
             Case("all servers full", listOf(candidate("x") { send(20) }), model, "NoCapacity"),
-            Case(
-                "not a server that rests",
-                listOf(candidate("x") { rest(1, nowMillis) }, candidate("y") { send(9) }),
-                model,
-                "y"
-            ),
-            Case(
-                "all servers rest",
-                listOf(candidate("x") { rest(Long.MAX_VALUE, nowMillis) }),
-                model,
-                "NoCapacity"
-            ),
-            Case(
-                "a server that has rested",
-                listOf(candidate("x") { rest(500, nowMillis - 500) }),
-                model,
-                "x"
-            ),
-            Case(
-                "the longer of two times counts",
-                listOf(
-                    candidate("x") {
-                        rest(900, nowMillis - 500)
-                        rest(100, nowMillis - 300)
-                    }
-                ),
-                model,
-                "NoCapacity"
-            ),
             Case(
                 "a cold server without a permit",
                 listOf(
@@ -152,6 +123,43 @@
         check(cases)
     }
 
+    @Test
+    fun `servers that rest`() {
+        val model = ModelRef("m")
+        val cases = listOf(
+            Case(
+                "not a server that rests",
+                listOf(candidate("x") { rest(1, nowMillis) }, candidate("y") { send(9) }),
+                model,
+                "y"
+            ),
+            Case(
+                "all servers rest",
+                listOf(candidate("x") { rest(Long.MAX_VALUE, nowMillis) }),
+                model,
+                "NoCapacity"
+            ),
+            Case(
+                "a server that has rested",
+                listOf(candidate("x") { rest(500, nowMillis - 500) }),
+                model,
+                "x"
+            ),
+            Case(
+                "the longer of two times counts",
+                listOf(
+                    candidate("x") {
+                        rest(900, nowMillis - 500)
+                        rest(100, nowMillis - 300)
+                    }
+                ),
+                model,
+                "NoCapacity"
+            )
+        )
+        check(cases)
+    }
+
     private fun check(cases: List<Case>) {
         cases.forEach { case ->
             val result =
