Revert the relay of the operators' topic

Not traced; suspected: the age in a relayed message is as of its sending, so a message that is delayed on its way looks fresh, and the instance does not read by itself.

The notices of servers in the same messages stay.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -31,7 +31,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import mustarddale.instance.http.BackendConnections
-import mustarddale.instance.serving.feed.Feeds
+import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.feed.TopicLog
 import mustarddale.instance.serving.forward.Admission
 import mustarddale.instance.serving.forward.BackendClient
@@ -67,6 +67,14 @@
     public fun feeds(state: ServingState): Feeds
 }
 
+/**
+ * The feeds of an instance.
+ *
+ * @property operators the configuration and the draining failure domains, read by each instance.
+ * @property backends the entries of backend servers, read by the leader for all instances.
+ */
+public data class Feeds(public val operators: KeyedFeed, public val backends: KeyedFeed)
+
 /** A serving instance with [settings]; [connectPlatform] creates its connections. */
 public class ServingInstance(
     private val settings: ServingSettings,
@@ -110,7 +118,7 @@
     )
     private val feeds = platform.feeds(state)
     private val memberAgent =
-        MemberAgent(state, feeds, ownRecord.instance, ownRecord.run, clock)
+        MemberAgent(state, feeds.backends, ownRecord.instance, ownRecord.run, clock)
     private val loans = LeaderLoans(clock)
     private val leaderConnections = LeaderConnections(
         ownRecord,
@@ -118,7 +126,7 @@
         memberAgent,
         leaderController,
         loans,
-        feeds,
+        feeds.backends,
         clock,
         dispatcher
     )
@@ -186,7 +194,6 @@
         }
         leaderController.onStateChanged = leaderConnections::notifyMembers
         feeds.backends.onRead = leaderConnections::notifyMembers
-        feeds.operators.onRead = leaderConnections::notifyMembers
         Metrics.addRegistry(metrics)
         metrics.gauge("mustarddale.requests.open", callerService) { it.openRequests.toDouble() }
         metrics.gauge("mustarddale.backends", state) { it.directory.backends.size.toDouble() }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/feed/KeyedFeed.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/feed/KeyedFeed.kt
@@ -33,18 +33,9 @@
  * The timing of a feed's reads.
  *
  * @property waitMillis how long a read waits at the log for new records.
- * @property relayWaitMillis the same while this instance reads for others; below half of their
- *   [relayLifetimeMillis], as a read that waits tells only of the time at which it was sent.
  * @property pauseMillis the pause after a read that returned records.
- * @property relayLifetimeMillis how long after the leader's read an instance does not read itself;
- *   below the time in which a change has to take effect.
  */
-public data class FeedTiming(
-    public val waitMillis: Long,
-    public val relayWaitMillis: Long,
-    public val pauseMillis: Long,
-    public val relayLifetimeMillis: Long
-)
+public data class FeedTiming(public val waitMillis: Long, public val pauseMillis: Long)
 
 /**
  * Records that another instance has read.
@@ -77,9 +68,6 @@
     public var currentAsOfMillis: Long = Long.MIN_VALUE
         private set
 
-    /** Whether this instance reads the log for others. */
-    public var isRelaying: () -> Boolean = { false }
-
     /** Called after each successful read for new records, also if there were none. */
     public var onRead: () -> Unit = {}
 
@@ -99,8 +87,7 @@
         while (true) {
             if (log.era > era) startEra(log.era)
             val from = offset
-            val remainingMillis =
-                relayedReadMillis + timing.relayLifetimeMillis - clock.monotonicMillis()
+            val remainingMillis = relayedReadMillis + RELAY_TTL_MILLIS - clock.monotonicMillis()
             when {
                 from == null -> offset = readSnapshot()
                 remainingMillis > 0 -> delay(remainingMillis)
@@ -164,11 +151,7 @@
 
     private suspend fun readFrom(from: Long) {
         val sentMillis = clock.monotonicMillis()
-        val waitMillis = when {
-            isDisconnected -> 0
-            isRelaying() -> timing.relayWaitMillis
-            else -> timing.waitMillis
-        }
+        val waitMillis = if (isDisconnected) 0 else timing.waitMillis
         val read = log.read(topic, from, waitMillis)
         // The leader may have relayed records during the read, or the log begun a new era.
         if (offset != from || log.era > era) return
@@ -222,6 +205,9 @@
     }
 
     private companion object {
+        /** Twice the interval of the leader's reads, below half of any limit on the state's age. */
+        const val RELAY_TTL_MILLIS = 900L
+
         /** The records of a few seconds, for instances that have just connected. */
         const val MAX_RECENT_RECORDS = 256
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
@@ -31,7 +31,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.instance.peer.FrameCodec
 import mustarddale.instance.serving.DecisionLog
-import mustarddale.instance.serving.feed.Feeds
+import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.time.Clock
 import mustarddale.time.MinInterval
@@ -48,7 +48,7 @@
     private val member: MemberAgent,
     private val controller: LeaderController,
     private val loans: LeaderLoans,
-    private val feeds: Feeds,
+    private val backends: KeyedFeed,
     private val clock: Clock,
     eventLoop: CoroutineDispatcher
 ) : AutoCloseable {
@@ -68,8 +68,6 @@
     /** Listens for instances and connects to the leader. */
     public fun start() {
         loans.send = ::requestLoan
-        feeds.operators.isRelaying = { memberSessions.isNotEmpty() }
-        feeds.backends.isRelaying = { memberSessions.isNotEmpty() }
         scope.launch { listen() }
         scope.launch { followLeader() }
     }
@@ -234,7 +232,7 @@
     private suspend fun serveMember(socket: Socket): Unit = coroutineScope {
         val output = socket.openWriteChannel(autoFlush = false)
         val input = socket.openReadChannel()
-        val session = MemberSession(controller, feeds, clock)
+        val session = MemberSession(controller, backends, clock)
         memberSessions.add(session)
         try {
             launch { session.sendMessages { codec.write(output, it) } }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -29,8 +29,8 @@
      * @property confirmedRevision the revision of the shares in force.
      * @property shares the fraction of each client account's rate that this instance uses.
      * @property wantedTokens tokens requested of each client account since the last report.
-     * @property operators what the instance knows of the operators' topic, null for nothing.
-     * @property backends what it knows of the backend server list, null for nothing.
+     * @property backendOffset the offset after the last known record of the backend server list.
+     * @property backendEra the log's era in which [backendOffset] is valid.
      * @property heardMillis the [State.sentMillis] of the newest state applied in [term], null if
      *   there was none.
      * @property promptAnswers requests answered since the last report.
@@ -56,8 +56,8 @@
         public val confirmedRevision: Long,
         public val shares: Map<String, Double>,
         public val wantedTokens: Map<String, Double>,
-        public val operators: FeedPosition?,
-        public val backends: FeedPosition?,
+        public val backendOffset: Long?,
+        public val backendEra: Long = 0,
         public val heardMillis: Long?,
         public val demand: List<ServiceDemand>,
         public val promptAnswers: Int = 0,
@@ -84,7 +84,6 @@
      * @property shareTotal the sum of the shares that all instances may hold of one account.
      * @property instances the number of instances that may hold shares.
      * @property engines the engines whose contents have changed since the last message.
-     * @property operators new records of the operators' topic.
      * @property backends new records of the backend server list.
      * @property promptBlocks all blocks of requests by parts of their prompts.
      * @property requestVerdicts all verdicts on requests, null if they are as in the last message.
@@ -106,8 +105,7 @@
         public val shareLeaseMillis: Long,
         public val instances: Int,
         public val engines: List<EngineContents>,
-        public val operators: FeedNews? = null,
-        public val backends: FeedNews? = null,
+        public val backends: BackendNews? = null,
         public val promptBlocks: List<PromptBlock> = emptyList(),
         public val requestVerdicts: List<RequestVerdict>? = null,
         public val streams: List<VersionedStreams> = emptyList(),
@@ -236,13 +234,9 @@
     public val expected: Map<String, Long>
 )
 
-/** The [offset] after the last known record of a topic, which is valid in the log's [era]. */
+/** Records of the list from [fromOffset] on in the log's [era], as read [ageMillis] ago. */
 @Serializable
-public data class FeedPosition(public val offset: Long, public val era: Long)
-
-/** Records of a topic from [fromOffset] on in the log's [era], as read [ageMillis] ago. */
-@Serializable
-public data class FeedNews(
+public data class BackendNews(
     public val fromOffset: Long,
     public val records: List<RecordBytes>,
     public val ageMillis: Long,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -5,7 +5,6 @@
 package mustarddale.instance.serving.leader
 
 import mustarddale.instance.serving.DecisionLog
-import mustarddale.instance.serving.feed.Feeds
 import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.feed.RelayedRecords
 import mustarddale.instance.serving.state.ServingState
@@ -17,12 +16,12 @@
 /**
  * Reports for [instance] to the leader, and applies the leader's messages to [state].
  *
- * @param feeds the feeds, which take records from the leader.
+ * @param backends the feed of the backend server list, which takes records from the leader.
  * @param run the id of this process, which a restart replaces.
  */
 public class MemberAgent(
     private val state: ServingState,
-    private val feeds: Feeds,
+    private val backends: KeyedFeed,
     private val instance: String,
     private val run: String,
     private val clock: Clock
@@ -56,8 +55,8 @@
             confirmedRevision = sharesRevision,
             shares = shares,
             wantedTokens = state.quota.takeDemand(),
-            operators = positionOf(feeds.operators),
-            backends = positionOf(feeds.backends),
+            backendOffset = backends.offset,
+            backendEra = backends.era,
             heardMillis = leaderSentMillis,
             demand = state.takeDemand().map { (service, samples) ->
                 ServiceDemand(
@@ -113,8 +112,12 @@
         leaderSentMillis = message.sentMillis
         effectiveShares.onLeaderMessage(nowMillis)
         state.residency.recordLeaderContact(nowMillis)
-        applyNews(message.operators, feeds.operators)
-        applyNews(message.backends, feeds.backends)
+        message.backends?.let { news ->
+            val records = news.records.map { it.bytes }
+            backends.applyRelayed(
+                RelayedRecords(news.fromOffset, records, news.ageMillis, news.era)
+            )
+        }
         state.notices.markLeaving(message.leavingServers)
         message.engines.forEach { engine ->
             val expectedAtMillis = engine.expected.mapValues { nowMillis + it.value }
@@ -136,15 +139,6 @@
         if (message.engines.isNotEmpty()) state.wakeModelWaiters()
     }
 
-    private fun positionOf(feed: KeyedFeed): FeedPosition? =
-        feed.offset?.let { FeedPosition(it, feed.era) }
-
-    private fun applyNews(news: FeedNews?, feed: KeyedFeed) {
-        if (news == null) return
-        val records = news.records.map { it.bytes }
-        feed.applyRelayed(RelayedRecords(news.fromOffset, records, news.ageMillis, news.era))
-    }
-
     /** Handles the message of the leader of [endedTerm] that it is no longer the leader. */
     public fun handleLeadershipEnded(endedTerm: Long?) {
         if (endedTerm != term) return
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberSession.kt
@@ -9,18 +9,17 @@
 import java.io.IOException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
-import mustarddale.instance.serving.feed.Feeds
+import mustarddale.instance.serving.feed.KeyedFeed
+import mustarddale.instance.serving.feed.RelayedRecords
 import mustarddale.time.Clock
 import mustarddale.time.MinInterval
 
-/** Serves one instance with the state of [controller] and the records of [feeds]. */
+/** Serves one instance with the state of [controller] and the records of [backends]. */
 internal class MemberSession(
     private val controller: LeaderController,
-    feeds: Feeds,
+    private val backends: KeyedFeed,
     private val clock: Clock
 ) {
-    private val operators = FeedRelay(feeds.operators)
-    private val backends = FeedRelay(feeds.backends)
     private val signal = Channel<Unit>(Channel.CONFLATED)
     private val answers = ArrayDeque<LeaderMessage>()
     private val stateInterval = MinInterval(STATE_INTERVAL_MILLIS)
@@ -29,6 +28,8 @@
     private var sentVersion = 0L
     private var sentStreamNumber = 0L
     private var sentVerdictVersion: Pair<Long, Long>? = null
+    private var sentEndOffset: Long? = null
+    private var sentEra = 0L
 
     /** Sends the instance what has changed since the last state. */
     fun requestState() {
@@ -84,16 +85,24 @@
         val verdictVersion = state.term to controller.verdictVersion
         val hasNewVerdicts = verdictVersion != sentVerdictVersion
         sentVerdictVersion = verdictVersion
+        if (sentEra != backends.era) sentEndOffset = null
+        sentEra = backends.era
+        val reportedOffset = report.backendOffset.takeIf { report.backendEra == backends.era }
+        val fromOffset = listOfNotNull(sentEndOffset, reportedOffset).maxOrNull()
+        val newRecords = fromOffset?.let { backends.recordsSince(it) }
+        if (newRecords != null) sentEndOffset = newRecords.fromOffset + newRecords.records.size
         val streams = controller.streamsToKeep(report.instance, sentStreamNumber)
         sentStreamNumber = controller.lastStreamNumber
         return state.copy(
             streams = streams,
-            operators = operators.newsFor(report.operators),
-            backends = backends.newsFor(report.backends),
+            backends = newRecords?.toMessage(),
             requestVerdicts = state.requestVerdicts.takeIf { hasNewVerdicts }
         )
     }
 
+    private fun RelayedRecords.toMessage() =
+        BackendNews(fromOffset, records.map { RecordBytes(it) }, ageMillis, era)
+
     private companion object {
         /** Below the time of an adapter load and its order, which are what waits for a state. */
         const val STATE_INTERVAL_MILLIS = 40L
--- a/instance/src/test/kotlin/mustarddale/instance/serving/KeyedFeedTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/KeyedFeedTest.kt
@@ -74,7 +74,7 @@
     private fun feed(vararg results: Any) = KeyedFeed(
         ScriptedLog(*results),
         "topic",
-        FeedTiming(0, relayWaitMillis = 0, pauseMillis = 0, relayLifetimeMillis = 900),
+        FeedTiming(waitMillis = 0, pauseMillis = 0),
         { bytes ->
             val (key, value) = (String(bytes) + "=").split('=')
             KeyedRecord(key, value.toByteArray().takeIf { it.isNotEmpty() })
