Start a leader's work once, however its election is known

Cause: the answer to the winning append started the work, while a read that found the record made the process the leader.

Ruled out: a second election (renewals in the same term; no leader_won).

Change: LeaderElection remembers what the success of each append without an answer needs, and one function turns a record that is known to be in the log into a lease and a term; the answer and the read both use it.

--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
@@ -4,7 +4,8 @@
  * fencing token of its orders. The leader counts its lease from before it sends a record, the
  * others from when they read the record, so leases never overlap; a delayed append fails its
  * condition. When the log returns from an older copy, which begins an era, no leadership outlasts
- * it, and the next one begins a lease later.
+ * it, and the next one begins a lease later. An append without an answer may still be in the log,
+ * so what its success would need is kept until a read shows its outcome.
  */
 package mustarddale.serving.leadership
 
@@ -56,7 +57,7 @@
     private val run: String,
     private val timings: ElectionTimings
 ) {
-    private var pending: PendingAppend? = null
+    private val pendingAppends = ArrayList<PendingAppend>()
     private var endOffset: Long? = null
     private var logChangedAtMillis = 0L
     private var readAtMillis = 0L
@@ -96,47 +97,85 @@
         newEraAtMillis = nowMillis
         logChangedAtMillis = nowMillis
         newest = null
-        pending = null
+        pendingAppends.clear()
         endOffset = null
         stepDown()
     }
 
-    /** Processes the result of a read: the new [records] and the offset [end] of the log's end. */
-    public fun observe(records: List<LeaderLogEntry>, end: Long, nowMillis: Long) {
+    /**
+     * Processes the result of a read: the new [records] and the offset [end] of the log's end.
+     * Returns the newest record of this process if the read shows that its append succeeded.
+     */
+    public fun observe(
+        records: List<LeaderLogEntry>,
+        end: Long,
+        nowMillis: Long
+    ): RecordedLeadership? {
         mustRead = false
         readAtMillis = nowMillis
         if (end != endOffset) logChangedAtMillis = nowMillis
         endOffset = end
         // An append that was sent in an earlier era may reach the log after newer records.
         val latest = records.maxWithOrNull(compareBy({ it.record.era }, { it.offset }))
-            ?.takeIf { it.record.era >= (newest?.record?.era ?: 0) } ?: return
+            ?.takeIf { it.record.era >= (newest?.record?.era ?: 0) }
+        val appended = latest?.let { entry ->
+            pendingAppends.firstOrNull { it.offset == entry.offset && it.record == entry.record }
+        }
+        pendingAppends.removeIf { it.offset < end }
+        if (latest == null) return null
         newest = latest
-        val pendingAppend = pending
-        if (pendingAppend != null && latest.record == pendingAppend.record) {
-            appendSucceeded(pendingAppend.record, latest.offset, pendingAppend.atMillis)
-        } else if (latest.record.run != run) {
-            ownTerm = null
+        if (appended != null) return recordAppended(appended)
+        if (latest.record.run != run) ownTerm = null
+        return null
+    }
+
+    /** Records that the append of [record] at [offset] is about to be sent. */
+    public fun appendStarted(record: LeaderRecord, offset: Long, nowMillis: Long) {
+        val orderAgeMillis = minOrderAgeMillis(nowMillis)
+        val lastForeignOrder = if (mayLackRecords) {
+            LastOrder(UNKNOWN_INSTANCE, orderAgeMillis)
+        } else {
+            LastOrder.beforeTakeover(newest?.record, instance, orderAgeMillis)
         }
+        if (pendingAppends.size == MAX_PENDING_APPENDS) pendingAppends.removeFirst()
+        pendingAppends +=
+            PendingAppend(record, offset, nowMillis, newest?.record, lastForeignOrder)
     }
 
-    /** Records that the append of [record] is about to be sent. */
-    public fun appendStarted(record: LeaderRecord, nowMillis: Long) {
-        pending = PendingAppend(record, nowMillis)
+    /** Records the answer that the append started last succeeded. */
+    public fun appendSucceeded(): RecordedLeadership? {
+        val appended = pendingAppends.lastOrNull() ?: return null
+        endOffset = appended.offset + 1
+        newest = LeaderLogEntry(appended.offset, appended.record)
+        pendingAppends.clear()
+        return recordAppended(appended)
     }
 
-    /** Records that [record], sent at [sentMillis], was appended at [offset]. */
-    public fun appendSucceeded(record: LeaderRecord, offset: Long, sentMillis: Long) {
-        pending = null
-        newest = LeaderLogEntry(offset, record)
-        endOffset = offset + 1
-        logChangedAtMillis = sentMillis
-        ownTerm = LeaderLogEntry(offset, record).term.takeIf { !record.isResigning }
-        leaseEndMillis = sentMillis + timings.leaseMillis
-        renewAtMillis = sentMillis + timings.renewalIntervalMillis
+    /** Makes the lease, and the term if it is the first record of one, depend on [appended]. */
+    private fun recordAppended(appended: PendingAppend): RecordedLeadership {
+        val record = appended.record
+        val term = LeaderLogEntry(appended.offset, record).term
+        logChangedAtMillis = appended.sentMillis
+        ownTerm = term.takeIf { !record.isResigning }
+        leaseEndMillis = appended.sentMillis + timings.leaseMillis
+        renewAtMillis = appended.sentMillis + timings.renewalIntervalMillis
+        val newTerm = LeadershipTerm(
+            term,
+            appended.predecessor,
+            appended.lastForeignOrder,
+            appended.sentMillis
+        ).takeIf { record.term == LeaderRecord.UNKNOWN_TERM }
+        return RecordedLeadership(record, newTerm)
     }
 
-    /** Records that an append was rejected or that its outcome is unknown. */
-    public fun appendFailed() {
+    /** Records the answer that the append started last was rejected. */
+    public fun appendRejected() {
+        pendingAppends.removeLastOrNull()
+        mustRead = true
+    }
+
+    /** Records that the outcome of the append started last is unknown. */
+    public fun appendUnanswered() {
         mustRead = true
     }
 
@@ -186,5 +225,20 @@
         return ElectionStep.Append(end, LeaderRecord.UNKNOWN_TERM)
     }
 
-    private data class PendingAppend(val record: LeaderRecord, val atMillis: Long)
+    /** An append without an answer, and what was known when it was sent. */
+    private data class PendingAppend(
+        val record: LeaderRecord,
+        val offset: Long,
+        val sentMillis: Long,
+        val predecessor: LeaderRecord?,
+        val lastForeignOrder: LastOrder?
+    )
+
+    private companion object {
+        /** In place of the leader whose records are lost. */
+        const val UNKNOWN_INSTANCE = ""
+
+        /** Bounds the memory during an outage; a dropped one only delays the next term. */
+        const val MAX_PENDING_APPENDS = 8
+    }
 }
--- a/core/src/test/kotlin/mustarddale/serving/leadership/LeaderElectionTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/leadership/LeaderElectionTest.kt
@@ -43,6 +43,7 @@
         private var mayOrderAtMillis = 0L
         private var orderBefore: LastOrder? = null
         private var wonAtMillis = 0L
+        private var workTerm: Long? = null
         private var orderedAtMillis: Long? = null
 
         /** The terms that this node won, with the times. */
@@ -54,8 +55,13 @@
             run++
             election = newElection()
             orderedAtMillis = null
+            workTerm = null
         }
 
+        /** Whether this node leads at [nowMillis] and does the work of the term. */
+        fun leadsWithWork(nowMillis: Long): Boolean =
+            workTerm != null && workTerm == election.ownTerm(nowMillis)
+
         /** Gives an order if allowed; returns whether it did. */
         fun tryOrder(nowMillis: Long): Boolean {
             val mayOrder = nowMillis >= mayOrderAtMillis && election.mayOrder(nowMillis)
@@ -63,13 +69,16 @@
             return mayOrder
         }
 
-        /** Starts a leadership, with orders only after those of the predecessor have expired. */
-        private fun takeOver(predecessor: LeaderRecord?, ageMillis: Long, nowMillis: Long) {
-            orderBefore = LastOrder.beforeTakeover(predecessor, name, ageMillis)
-            wonAtMillis = nowMillis
+        /** Starts the work of a new term, with orders only after those of others have expired. */
+        private fun handleRecorded(recorded: RecordedLeadership?, nowMillis: Long) {
+            val term = recorded?.newTerm ?: return
+            wonTerms += nowMillis to term.term
+            workTerm = term.term
+            orderBefore = term.lastForeignOrder
+            wonAtMillis = term.sinceMillis
             orderedAtMillis = null
             val waitMillis = LastOrder.waitMillis(orderBefore, name, ORDER_LEASE_MILLIS)
-            mayOrderAtMillis = nowMillis + waitMillis
+            mayOrderAtMillis = term.sinceMillis + waitMillis
         }
 
         private fun record(term: Long, nowMillis: Long): LeaderRecord {
@@ -90,11 +99,12 @@
                 is ElectionStep.Wait -> Unit
 
                 is ElectionStep.Read -> if (!startsEra(log, nowMillis)) {
-                    election.observe(
+                    val recorded = election.observe(
                         log.records.drop(step.offset.toInt()),
                         log.records.size.toLong(),
                         nowMillis
                     )
+                    handleRecorded(recorded, nowMillis)
                 }
 
                 is ElectionStep.Append -> return append(step, log, nowMillis, random)
@@ -116,21 +126,21 @@
             random: Random
         ): (() -> Unit)? {
             val record = record(step.term, nowMillis)
-            val predecessor = election.newest?.record
-            val ageMillis = election.minOrderAgeMillis(nowMillis)
-            val mayLackRecords = election.mayLackRecords
-            election.appendStarted(record, nowMillis)
+            election.appendStarted(record, step.offset, nowMillis)
             val outcome = random.nextInt(10)
-            if (outcome <= 1 || !log.append(step.offset, record)) {
-                election.appendFailed()
+            if (outcome <= 1) {
+                election.appendUnanswered()
                 return if (outcome == 1) ({ log.append(step.offset, record) }) else null
             }
+            if (!log.append(step.offset, record)) {
+                election.appendRejected()
+                return null
+            }
             if (startsEra(log, nowMillis)) return null
-            election.appendSucceeded(record, step.offset, nowMillis)
-            if (step.term == LeaderRecord.UNKNOWN_TERM) {
-                wonTerms += nowMillis to LeaderLogEntry(step.offset, record).term
-                val lost = LeaderRecord("lost", "lost-0", "host", 1).takeIf { mayLackRecords }
-                takeOver(lost ?: predecessor, ageMillis, nowMillis)
+            if (outcome == 2) {
+                election.appendUnanswered()
+            } else {
+                handleRecorded(election.appendSucceeded(), nowMillis)
             }
             return null
         }
@@ -179,6 +189,7 @@
             }
         }
         assertEquals(1, nodes.count { it.election.ownTerm(40_000) != null })
+        assertEquals(1, nodes.count { it.leadsWithWork(40_000) }, "leaders that do their work")
         val wonTerms = nodes.flatMap { it.wonTerms }.sortedBy { it.first }.map { it.second }
         assertEquals(wonTerms.sorted().distinct(), wonTerms)
         val terms = log.records.filter { it.record.era == log.era }.map { it.term }
@@ -236,8 +247,8 @@
         val election = LeaderElection("a", "a-1", timings)
         election.observe(emptyList(), 0, 0)
         val record = LeaderRecord("a", "a-1", "h", 1)
-        election.appendStarted(record, 100)
-        election.appendSucceeded(record, 0, 100)
+        election.appendStarted(record, 0, 100)
+        election.appendSucceeded()
         listOf(100L to true, 1_099L to true, 1_100L to false, 2_000L to false).forEach {
             assertEquals(
                 it.second,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -15,6 +15,7 @@
 import mustarddale.serving.crash.RequestTrials
 import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderRecord
+import mustarddale.serving.leadership.LeadershipTerm
 import mustarddale.serving.prompt.CrashAnalyzer
 import mustarddale.serving.version.StreamRecords
 import mustarddale.serving.version.VersionedStreams
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
@@ -18,26 +18,13 @@
 import mustarddale.instance.serving.feed.TopicRecord
 import mustarddale.serving.leadership.ElectionStep
 import mustarddale.serving.leadership.ElectionTimings
-import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderElection
 import mustarddale.serving.leadership.LeaderLogEntry
 import mustarddale.serving.leadership.LeaderRecord
+import mustarddale.serving.leadership.LeadershipTerm
+import mustarddale.serving.leadership.RecordedLeadership
 import mustarddale.time.Clock
 
-/**
- * A term for which this instance was elected.
- *
- * @property predecessor the newest record of the previous leader, null if there was none.
- * @property lastForeignOrder the newest order that another leader may have sent to an engine.
- * @property sinceMillis when the winning record was sent, on the local monotonic clock.
- */
-public data class LeadershipTerm(
-    public val term: Long,
-    public val predecessor: LeaderRecord?,
-    public val lastForeignOrder: LastOrder?,
-    public val sinceMillis: Long
-)
-
 /** Takes part in the election as [self], which holds this process's id and address. */
 public class LeaderElector(
     private val log: TopicLog,
@@ -59,7 +46,7 @@
     private var hasResigned = false
     private var clockOffsetMillis = clock.wallMillis() - clock.monotonicMillis()
 
-    /** Called with each term that this instance wins. */
+    /** Called once with each term that this instance wins. */
     public var onElected: (LeadershipTerm) -> Unit = {}
 
     /** Called with the newest record whenever another process has become the leader. */
@@ -68,7 +55,7 @@
     /** Fills in the leader's state in its next record, given the newest known record. */
     public var fillInRecord: (LeaderRecord, LeaderRecord?) -> LeaderRecord = { record, _ -> record }
 
-    /** Called with each record of this instance that has been appended to the log. */
+    /** Called with each record of this instance that is known to be in the log. */
     public var onAppended: (LeaderRecord) -> Unit = {}
 
     /** Returns the term of this instance's leadership, null while it is not the leader. */
@@ -157,11 +144,12 @@
 
     private fun observe(read: TopicRead.Records) {
         val previousRun = election.newest?.record?.run
-        election.observe(
+        val recorded = election.observe(
             read.records.mapNotNull { decode(it) },
             read.nextOffset,
             clock.monotonicMillis()
         )
+        handleRecorded(recorded, "read")
         val leader = election.newest
         if (leader != null && leader.record.run != previousRun) {
             DecisionLog.record(
@@ -175,48 +163,35 @@
     }
 
     private suspend fun append(step: ElectionStep.Append) {
-        val predecessor = election.newest?.record
-        val record = fillInRecord(self.copy(term = step.term, era = election.era), predecessor)
-        val sentMillis = clock.monotonicMillis()
-        val orderAgeMillis = election.minOrderAgeMillis(sentMillis)
-        val lastForeignOrder = if (election.mayLackRecords) {
-            LastOrder(UNKNOWN_INSTANCE, orderAgeMillis)
-        } else {
-            LastOrder.beforeTakeover(predecessor, self.instance, orderAgeMillis)
-        }
-        election.appendStarted(record, sentMillis)
+        val unfilled = self.copy(term = step.term, era = election.era)
+        val record = fillInRecord(unfilled, election.newest?.record)
+        election.appendStarted(record, step.offset, clock.monotonicMillis())
         val result = log.appendAt(TOPIC, step.offset, encode(record))
         if (log.era != election.era) return
-        when (result) {
-            is AppendResult.Appended -> {
-                election.appendSucceeded(record, result.firstOffset, sentMillis)
-                onAppended(record)
-                if (step.term == LeaderRecord.UNKNOWN_TERM) {
-                    handleElected(
-                        LeadershipTerm(
-                            LeaderRecord.termOf(record.era, result.firstOffset),
-                            predecessor,
-                            lastForeignOrder,
-                            sentMillis
-                        )
-                    )
-                }
-            }
-
-            is AppendResult.NotAppended, is AppendResult.Unknown -> {
-                DecisionLog.record("leader_append_failed", "outcome" to result)
-                election.appendFailed()
-                delay(retryDelayMillis())
-            }
+        if (result is AppendResult.Appended) {
+            handleRecorded(election.appendSucceeded(), "answer")
+            return
         }
+        DecisionLog.record("leader_append_failed", "outcome" to result)
+        if (result is AppendResult.NotAppended) {
+            election.appendRejected()
+        } else {
+            election.appendUnanswered()
+        }
+        delay(retryDelayMillis())
     }
 
-    private fun handleElected(term: LeadershipTerm) {
+    /** Handles a record of this process that is in the log, as an answer or a read shows. */
+    private fun handleRecorded(recorded: RecordedLeadership?, source: String) {
+        if (recorded == null) return
+        onAppended(recorded.record)
+        val term = recorded.newTerm ?: return
         DecisionLog.record(
             "leader_won",
             "term" to term.term,
             "predecessor" to term.predecessor?.instance,
-            "orderBefore" to term.lastForeignOrder
+            "orderBefore" to term.lastForeignOrder,
+            "knownFrom" to source
         )
         onElected(term)
     }
@@ -247,9 +222,6 @@
     private companion object {
         const val TOPIC = "leadership"
 
-        /** In place of the leader whose records are lost. */
-        const val UNKNOWN_INSTANCE = ""
-
         /** Short, so that a crash is detected soon; four renewals fit into it. */
         const val LEASE_MILLIS = 2_000L
         const val RENEWAL_INTERVAL_MILLIS = 500L
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/PermitController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/PermitController.kt
@@ -6,6 +6,7 @@
 
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.ColdStartLimiter
+import mustarddale.serving.leadership.LeadershipTerm
 import mustarddale.serving.limit.LimitObservation
 import mustarddale.serving.limit.LimitRegistry
 import mustarddale.serving.limit.RequestPacer
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
@@ -15,6 +15,7 @@
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.ModelRef
 import mustarddale.serving.leadership.LastOrder
+import mustarddale.serving.leadership.LeadershipTerm
 import mustarddale.serving.residency.DemandSample
 import mustarddale.serving.residency.EngineInventory
 import mustarddale.serving.residency.EngineOrder
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
@@ -6,6 +6,7 @@
 package mustarddale.instance.serving.leader
 
 import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.leadership.LeadershipTerm
 import mustarddale.serving.quota.AccountQuota
 import mustarddale.serving.quota.ShareAllocator
 import mustarddale.serving.quota.ShareGrant
