Report the versions of streams before a second version appears

Cause: an instance reported which software version began its streams only while the service had several.

Ruled out: taking a stream without a record for one of the old version; an instance that dies after it began one at the new version looks the same.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -306,8 +306,8 @@
         /** The streams that a large fleet begins within the lifetime of a record. */
         const val MAX_STREAMS = 65_536
 
-        /** Enough that a failure domain or some instances can be lost with the leader. */
-        const val STREAM_KEEPERS = 3
+        /** Enough that a third of the instances can be lost with the leader. */
+        const val STREAM_KEEPERS = 6
 
         /** The analysis takes up to 10 ms when thousands of requests have lost their servers. */
         const val BLOCK_INTERVAL_MILLIS = 200L
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/StreamVersions.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/StreamVersions.kt
@@ -1,7 +1,8 @@
 /*
  * What this instance knows of the software versions that began streams: of its own streams, and of
  * those of others that it keeps for the leader, so that they outlast a leader. Records are reported
- * only while a service has several versions.
+ * before a second version appears too, because an instance may be lost at the same moment; while a
+ * service has several versions, they are urgent.
  */
 package mustarddale.instance.serving.state
 
@@ -24,7 +25,7 @@
     /** The number of streams whose versions are known. */
     public val size: Int get() = records.size + kept.size
 
-    /** Called when there is a record to report. */
+    /** Called when there is a record that is urgent to report. */
     public var onRecord: () -> Unit = {}
 
     /** Records that servers with [version] began the stream of [request]. */
@@ -52,7 +53,6 @@
 
     /** Returns the records since the last call, or since [forgetReports]. */
     public fun takeUnreported(): List<VersionedStreams> {
-        if (!history.hasMixedServices) return emptyList()
         val unreported = records.since(reportedNumber) + kept.since(reportedKeptNumber)
         reportedNumber = records.lastNumber
         reportedKeptNumber = kept.lastNumber
