--- a/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
+++ b/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
@@ -33,6 +33,7 @@
     KEY_MISSING("key_missing", 401, AUTHENTICATION, Executed.NO),
     KEY_UNKNOWN("key_unknown", 401, AUTHENTICATION, Executed.NO),
     KEY_AMBIGUOUS("key_ambiguous", 401, AUTHENTICATION, Executed.NO),
+    ACCOUNT_UNUSABLE("account_unusable", 403, AUTHENTICATION, Executed.NO),
     OPERATOR_UNKNOWN("operator_unknown", 401, AUTHENTICATION, Executed.NO),
     MODEL_UNKNOWN("model_not_found", 404, INVALID, Executed.NO),
     ROUTE_UNKNOWN("route_not_found", 404, INVALID, Executed.NO),
--- a/core/src/main/kotlin/mustarddale/serving/config/ServingConfiguration.kt
+++ b/core/src/main/kotlin/mustarddale/serving/config/ServingConfiguration.kt
@@ -143,6 +143,8 @@
  * @property tokensPerSecond the rate limit over all instances, null for no limit.
  * @property burstTokens the burst that is allowed on top of the rate, over all instances.
  * @property defaultRequestTokens the tokens charged for a request that does not state its own.
+ * @property hasUsableName whether the name can be sent to backend servers; if not, requests of the
+ *   account are refused.
  */
 public data class AccountConfig(
     public val name: String,
@@ -150,7 +152,8 @@
     public val priority: Int?,
     public val tokensPerSecond: Double?,
     public val burstTokens: Double,
-    public val defaultRequestTokens: Double
+    public val defaultRequestTokens: Double,
+    public val hasUsableName: Boolean = true
 )
 
 /** Limits on the size and the duration of callers' requests. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
@@ -41,10 +41,7 @@
         val route = state.routes.find(head.host, head.path)
             ?: return failure(ErrorKind.ROUTE_UNKNOWN, "no route matches ${head.host}${head.path}")
         val account = head.apiKey?.let { configuration.accountOf(it) }
-        if (account == null && configuration.hasAccounts && !route.allowsAnonymous) {
-            val kind = if (head.apiKey == null) ErrorKind.KEY_MISSING else ErrorKind.KEY_UNKNOWN
-            return failure(kind, "the request has no API key of a client account")
-        }
+        accountFailure(head, account, route, configuration)?.let { return it }
         val tokens = tokenCostOf(head, account)
         if (account != null && !areTokensTaken &&
             !state.quota.tryTake(account, tokens, nowMillis)
@@ -65,6 +62,26 @@
         )
     }
 
+    /** Returns why a request of [account] is not admitted on [route], null if it is. */
+    private fun accountFailure(
+        head: RequestHead,
+        account: AccountConfig?,
+        route: RouteConfig,
+        configuration: ServingConfiguration
+    ): Outcome.Failure? = when {
+        account == null && configuration.hasAccounts && !route.allowsAnonymous -> failure(
+            if (head.apiKey == null) ErrorKind.KEY_MISSING else ErrorKind.KEY_UNKNOWN,
+            "the request has no API key of a client account"
+        )
+
+        account != null && !account.hasUsableName -> failure(
+            ErrorKind.ACCOUNT_UNUSABLE,
+            "the name of the client account cannot be sent to backend servers"
+        )
+
+        else -> null
+    }
+
     /** Returns the account that the API key of [head] belongs to, null if there is none. */
     public fun accountOf(head: RequestHead): AccountConfig? =
         head.apiKey?.let { state.configuration?.accountOf(it) }
