Let a stream that broke off go on only with events

What callers saw: a stream that broke off ended as complete when the next server answered with an empty success. Cause: the relay let a continued stream be empty, though within one response nobody knows whether the last event came.

Change: a continued stream needs a success that is an event stream and has an event; anything else is a failed try, and its body is aborted.

RequestForwardingTest has eight answers of the next server; two of them failed before, none now.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
@@ -2,7 +2,7 @@
  * Relays a backend server's response to the caller: buffered responses once they are complete,
  * streams as they arrive. A stream that ends within an event was broken off, even if its
  * connection ended in order. A resumable stream is relayed in whole events, so that another server
- * can continue after the last one.
+ * can continue after the last one; of that server's response only events reach the caller.
  */
 package mustarddale.instance.serving.forward
 
@@ -45,7 +45,10 @@
         isAnswered = false
         val isResumed = writer.hasStarted
         val status = response.headers.status()
-        if (isResumed && !status.isSuccess) return "resuming the stream failed with status $status"
+        if (isResumed && !(status.isSuccess && isEventStream(response.headers))) {
+            response.body.abort()
+            return "resuming the stream failed: status $status, ${response.headers.contentType()}"
+        }
         if (!request.route.isStream || !status.isSuccess || !isEventStream(response.headers)) {
             return relayBuffered(response)
         }
@@ -89,7 +92,8 @@
             if (passedBytes.isNotEmpty()) writer.writeBody(HttpData.wrap(passedBytes))
         }
         partialEventBytes = scanner.partialEventBytes
-        val mayBeEmpty = isResumed || request.head.lastEventId != null
+        // A client that takes up a stream knows whether the events that it has are all.
+        val mayBeEmpty = !isResumed && request.head.lastEventId != null
         return when {
             failure != null -> failure
             scanner.partialEventBytes > 0 -> "the stream ended within an event"
