--- a/instance/src/test/kotlin/mustarddale/instance/serving/leader/LeaderElectorTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/leader/LeaderElectorTest.kt
@@ -56,6 +56,7 @@
 
     private data class Case(val name: String, val fates: List<Fate>)
 
+    /** Guards against a process that renews its leadership and does none of its work. */
     @Test
     fun `the work of a term starts once, however its first record is known to be in the log`() {
         val cases = listOf(
