End a planned stop with final responses, and admit by the time that is left

Callers saw (PlannedStopTest, red before): connections closed without a response at the end of the grace period, for requests of all kinds that a server had not finished; and, with a grace period of 3 s, a request sent in its middle that was taken, sent on and cut. Cause: admission lasted 2.8 s whatever the grace period was, and nothing ended open requests before the exit. Change: ShutdownSchedule derives the phases from the grace period; requests still open before the kill get 503 if no server can have run them, else 502.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -30,6 +30,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.instance.http.BackendConnections
 import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.feed.TopicLog
@@ -49,6 +50,7 @@
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.BackendSelector
 import mustarddale.serving.leadership.LeaderRecord
+import mustarddale.serving.shutdown.ShutdownSchedule
 import mustarddale.time.Clock
 import mustarddale.time.SystemClock
 
@@ -150,7 +152,7 @@
         ::closeConnectionOnShutdown,
         ::mayAdmit
     )
-    private var shutdownSinceMillis: Long? = null
+    private var shutdown: ShutdownSchedule? = null
     private val server: Server = Server.builder()
         .workerGroup(eventLoopGroup, false)
         .http(InetSocketAddress(settings.host, settings.callerPort))
@@ -241,41 +243,45 @@
     }
 
     private fun readinessResponse(): HttpResponse {
-        val isReady = state.configuration != null && shutdownSinceMillis == null &&
+        val isReady = state.configuration != null && shutdown == null &&
             state.directory.backends.isNotEmpty()
         return HttpResponse.of(if (isReady) HttpStatus.OK else HttpStatus.SERVICE_UNAVAILABLE)
     }
 
     /** During a shutdown, closes the connection of [ctx] after its response. */
     private fun closeConnectionOnShutdown(ctx: ServiceRequestContext) {
-        if (shutdownSinceMillis != null) ctx.initiateConnectionShutdown(Duration.ZERO)
+        if (shutdown != null) ctx.initiateConnectionShutdown(Duration.ZERO)
     }
 
-    /** Whether to admit a request: during a shutdown only as long as it can still be finished. */
-    private fun mayAdmit(): Boolean {
-        val sinceMillis = shutdownSinceMillis ?: return true
-        return clock.monotonicMillis() - sinceMillis < SHUTDOWN_ADMISSION_MILLIS
-    }
+    private fun mayAdmit(): Boolean = shutdown?.mayAdmit(clock.monotonicMillis()) ?: true
 
     /**
      * Resigns leadership, lets new requests go to other instances, and returns when the open ones
-     * have ended or the grace period is nearly over.
+     * have ended; those that are still open when the grace period is nearly over are ended.
      */
     public fun shutDownGracefully(): Unit = runBlocking(dispatcher) {
-        val startMillis = clock.monotonicMillis()
-        shutdownSinceMillis = startMillis
+        val schedule = ShutdownSchedule(clock.monotonicMillis(), settings.termGraceMillis)
+        shutdown = schedule
         DecisionLog.record("leaving", "open" to callerService.openRequests)
         elector.resign()
-        val exitDeadlineMillis = startMillis + settings.termGraceMillis - EXIT_MARGIN_MILLIS
-        delay(SHUTDOWN_ADMISSION_MILLIS)
+        delay(schedule.admissionEndMillis - schedule.startMillis)
         state.modelWaiters.close()
         var idleSinceMillis = clock.monotonicMillis()
-        while (clock.monotonicMillis() < exitDeadlineMillis) {
+        while (clock.monotonicMillis() < schedule.finalResponsesAtMillis) {
             if (callerService.openRequests > 0) idleSinceMillis = clock.monotonicMillis()
             if (clock.monotonicMillis() - idleSinceMillis >= IDLE_BEFORE_EXIT_MILLIS) break
             delay(SHUTDOWN_CHECK_INTERVAL_MILLIS)
         }
-        DecisionLog.record("stopped", "open" to callerService.openRequests)
+        val unfinished = callerService.openRequests
+        forwarder.endOpenRequests()
+        withTimeoutOrNull(FINAL_RESPONSE_MILLIS) {
+            while (callerService.openRequests > 0) delay(FINAL_RESPONSE_CHECK_MILLIS)
+        }
+        DecisionLog.record(
+            "stopped",
+            "unfinished" to unfinished,
+            "open" to callerService.openRequests
+        )
     }
 
     /** Stops at once, without finishing open requests. */
@@ -309,15 +315,13 @@
 
         const val TICK_INTERVAL_MILLIS = 200L
 
-        /** The load balancer checks each second and removes an instance after two failed checks. */
-        const val SHUTDOWN_ADMISSION_MILLIS = 2_800L
-
         /** Callers with open connections send their next request within about this time. */
         const val IDLE_BEFORE_EXIT_MILLIS = 1_000L
 
-        /** The time for the exit itself, before the platform kills the process. */
-        const val EXIT_MARGIN_MILLIS = 700L
-
         const val SHUTDOWN_CHECK_INTERVAL_MILLIS = 50L
+
+        /** The longest time for callers to receive final responses before the exit. */
+        const val FINAL_RESPONSE_MILLIS = 200L
+        const val FINAL_RESPONSE_CHECK_MILLIS = 5L
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
@@ -2,12 +2,17 @@
  * Forwards an admitted request to a backend server and relays the response to the caller. A request
  * that may run only once is sent again only if the previous server did not run it. A resumable
  * stream continues after its last complete event at another server. A response that ends early also
- * closes the caller's connection, so that a truncated response never looks complete.
+ * closes the caller's connection, so that a truncated response never looks complete. When the
+ * instance exits, callers whose responses have not begun still get a final response.
  */
 package mustarddale.instance.serving.forward
 
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.ResponseHeaders
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.error.Refusal
 import mustarddale.instance.serving.leader.LeaderLoans
@@ -47,11 +52,34 @@
     internal val loans: LeaderLoans,
     internal val clock: Clock
 ) {
+    private val openJobs = HashSet<Job>()
+
     /** Forwards [request] and writes the response to [writer]. */
     public suspend fun forward(request: AdmittedRequest, writer: ResponseWriter) {
         val forwarding = RequestForwarding(this, request, writer)
         val budgetMillis = request.deadlineAtMillis - clock.monotonicMillis()
-        if (budgetMillis > 0 && withTimeoutOrNull(budgetMillis) { forwarding.run() } != null) return
-        forwarding.timeOut()
+        try {
+            val ended = withTimeoutOrNull(budgetMillis.coerceAtLeast(0)) { run(forwarding) }
+            if (ended == null) forwarding.timeOut()
+        } catch (_: InstanceExit) {
+            forwarding.endOnExit()
+        }
+    }
+
+    private suspend fun run(forwarding: RequestForwarding) {
+        val job = currentCoroutineContext().job
+        openJobs += job
+        try {
+            forwarding.run()
+        } finally {
+            openJobs -= job
+        }
     }
+
+    /** Ends all requests that are being forwarded, each with a response that says what is known. */
+    public fun endOpenRequests() {
+        openJobs.toList().forEach { it.cancel(InstanceExit()) }
+    }
+
+    private class InstanceExit : CancellationException("the instance exits")
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -316,29 +316,34 @@
         writer.refuse(refusal)
     }
 
-    private fun fail(reason: String) {
-        requestLog.logEnd("failed", reason)
-        if (writer.hasStarted) {
-            writer.abort(reason)
-        } else {
-            writer.refuse(Refusal(ErrorKind.BACKEND_FAILED, reason))
-        }
+    private fun fail(reason: String) = end("failed", Refusal(ErrorKind.BACKEND_FAILED, reason))
+
+    /** Ends the request with [response], or as incomplete if its response has begun. */
+    private fun end(event: String, response: Refusal) {
+        requestLog.logEnd(event, response.message)
+        if (writer.hasStarted) writer.abort(response.message) else writer.refuse(response)
     }
 
     /** Ends the request because its deadline has passed. */
     fun timeOut() {
-        if (possibleExecutions == 0 && !mayBeRunning) {
+        if (hasNotRun) {
             refuseOrFail("the deadline passed before a server accepted the request")
         } else {
-            requestLog.logEnd("timed_out", "the deadline passed")
-            if (writer.hasStarted) {
-                writer.abort("the deadline passed")
-            } else {
-                writer.refuse(Refusal(ErrorKind.TIMED_OUT, "the deadline passed"))
-            }
+            end("timed_out", Refusal(ErrorKind.TIMED_OUT, "the deadline passed"))
+        }
+    }
+
+    /** Ends the request because the instance exits. */
+    fun endOnExit() {
+        if (hasNotRun) {
+            refuseOrFail("the instance exits", OTHER_INSTANCE_RETRY_MILLIS)
+        } else {
+            end("failed", Refusal(ErrorKind.OUTCOME_UNKNOWN, "the instance exits"))
         }
     }
 
+    private val hasNotRun: Boolean get() = possibleExecutions == 0 && !mayBeRunning
+
     private fun jitterMillis(maxMillis: Int): Long =
         Math.floorMod(request.head.requestId.hashCode(), maxMillis).toLong()
 
@@ -358,6 +363,9 @@
         /** About the duration of one request, after which a slot is free. */
         const val RETRY_AFTER_MILLIS = 400L
 
+        /** A retry on a new connection reaches another instance. */
+        const val OTHER_INSTANCE_RETRY_MILLIS = 20L
+
         /** Spreads the retries of callers that were refused at the same time. */
         const val RETRY_JITTER_MILLIS = 600
     }
