Take request bodies from one budget of memory, and drop them early

Cause: bodies were read whole before anything was decided and kept until their responses had ended; nothing bounded their sum. Change: BufferBudget; the announced length is taken before a body is read, or the request is refused at once and the rest of its body dropped; a body is dropped when its server has begun to answer and no other one may get it. An exhausted heap ends the process.

--- a/core/src/main/kotlin/mustarddale/serving/shutdown/ShutdownSchedule.kt
+++ b/core/src/main/kotlin/mustarddale/serving/shutdown/ShutdownSchedule.kt
@@ -7,10 +7,7 @@
  * @property startMillis when the stop began, by the monotonic clock.
  * @property graceMillis the time from [startMillis] to the kill of the process.
  */
-public data class ShutdownSchedule(
-    public val startMillis: Long,
-    public val graceMillis: Long
-) {
+public data class ShutdownSchedule(public val startMillis: Long, public val graceMillis: Long) {
     private val usableMillis = graceMillis - minOf(EXIT_MARGIN_MILLIS, graceMillis / 4)
 
     /** When open requests that are not finished get their final responses. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -49,6 +49,7 @@
 import mustarddale.instance.serving.settings.ServingSettings
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.BackendSelector
+import mustarddale.serving.buffer.BufferBudget
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.shutdown.ShutdownSchedule
 import mustarddale.time.Clock
@@ -101,6 +102,7 @@
         .build()
     private val platform = connectPlatform(clientFactory, clock)
     private val state = ServingState(settings, clock)
+    private val buffers = BufferBudget(settings.bufferBytes)
     private val watchdog = EventLoopWatchdog(clock)
     private val ownRecord = LeaderRecord(
         instance = settings.instance,
@@ -148,6 +150,7 @@
         forwarder,
         loans,
         state.startupGate,
+        buffers,
         clock,
         ::closeConnectionOnShutdown,
         ::mayAdmit
@@ -203,6 +206,8 @@
         metrics.gauge("mustarddale.server.limits", state) { it.limits.size.toDouble() }
         metrics.gauge("mustarddale.prompt.blocks", state) { it.promptBlocks.size.toDouble() }
         metrics.gauge("mustarddale.stream.records", state) { it.streamVersions.size.toDouble() }
+        metrics.gauge("mustarddale.buffers.held.bytes", buffers) { it.heldBytes.toDouble() }
+        metrics.gauge("mustarddale.buffers.refused", buffers) { it.refusedCount.toDouble() }
         metrics.gauge("mustarddale.request.blocks", state) {
             it.suspectedRequests.blockedCount.toDouble()
         }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
@@ -4,7 +4,6 @@
  */
 package mustarddale.instance.serving.forward
 
-import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.RequestHeaders
 import java.util.Locale
 import mustarddale.error.ErrorKind
@@ -26,7 +25,7 @@
     public fun admit(
         head: RequestHead,
         headers: RequestHeaders,
-        body: HttpData,
+        body: RequestBody,
         arrivedAtMillis: Long,
         nowMillis: Long,
         areTokensTaken: Boolean = false
@@ -105,7 +104,7 @@
     private fun admittedRequest(
         head: RequestHead,
         headers: RequestHeaders,
-        body: HttpData,
+        body: RequestBody,
         route: RouteConfig,
         account: AccountConfig?,
         tokens: Double,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/AdmittedRequest.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/AdmittedRequest.kt
@@ -1,6 +1,5 @@
 package mustarddale.instance.serving.forward
 
-import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.RequestHeaders
 import mustarddale.instance.serving.protocol.RequestHead
 import mustarddale.key.Sha256
@@ -19,7 +18,7 @@
 public data class AdmittedRequest(
     public val head: RequestHead,
     public val headers: RequestHeaders,
-    public val body: HttpData,
+    public val body: RequestBody,
     public val route: RouteConfig,
     public val service: String,
     public val account: AccountConfig?,
@@ -40,7 +39,7 @@
         // A request without a body has its prompt in its head.
         val prompt = head.prompt.takeIf { body.isEmpty }
         val fields = (target + account?.name + prompt).joinToString("\n")
-        Sha256.of(fields.toByteArray() + body.array()).take(DIGEST_CHARS)
+        Sha256.of(fields.toByteArray() + body.data.array()).take(DIGEST_CHARS)
     }
 
     /** The priority of the request at backend servers. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.error.ErrorKind
 import mustarddale.error.Outcome
 import mustarddale.error.Refusal
@@ -26,6 +27,7 @@
 import mustarddale.instance.serving.protocol.RequestHead
 import mustarddale.instance.serving.protocol.ServingProtocol
 import mustarddale.instance.serving.state.StartupGate
+import mustarddale.serving.buffer.BufferBudget
 import mustarddale.time.Clock
 
 /**
@@ -41,6 +43,7 @@
     private val forwarder: Forwarder,
     private val loans: LeaderLoans,
     private val startupGate: StartupGate,
+    private val buffers: BufferBudget,
     private val clock: Clock,
     private val onRequest: (ServiceRequestContext) -> Unit,
     private val mayAdmit: () -> Boolean
@@ -73,20 +76,27 @@
     ) {
         val head = protocol.readRequest(req.headers())
         val writer = StreamingResponse(response, head?.requestId)
+        val reader = RequestBodyReader(req, buffers)
         try {
-            val fullRequest = req.aggregate(ctx.eventLoop()).await()
+            val body = reader.read().await()
             if (head == null) {
                 writer.refuse(Refusal(ErrorKind.INVALID_REQUEST, "the request has no request id"))
                 return
             }
-            startupGate.awaitOpen()
-            if (!mayAdmit()) {
-                val refusal = shutdownRefusal()
+            if (body == null) {
+                val refusal = bufferRefusal(head)
                 logRefused(head, refusal)
-                writer.refuse(refusal)
+                writer.writeRefusal(refusal)
+                withTimeoutOrNull(MAX_DRAIN_MILLIS) { reader.whenEnded.await() }
+                writer.complete()
                 return
             }
-            respond(head, req, fullRequest.content(), writer, arrivedAtMillis)
+            startupGate.awaitOpen()
+            if (mayAdmit()) {
+                respond(head, req, body, writer, arrivedAtMillis)
+            } else {
+                refuse(head, writer, shutdownRefusal())
+            }
         } catch (e: CancellationException) {
             if (head != null && !writer.hasEnded) logDisconnected(head, arrivedAtMillis)
             throw e
@@ -97,23 +107,27 @@
                 "error" to e.toString()
             )
             writer.abort(e.toString())
+        } finally {
+            reader.release()
         }
     }
 
+    private fun refuse(head: RequestHead, writer: ResponseWriter, refusal: Refusal) {
+        logRefused(head, refusal)
+        writer.refuse(refusal)
+    }
+
     private suspend fun respond(
         head: RequestHead,
         req: HttpRequest,
-        body: HttpData,
+        body: RequestBody,
         writer: ResponseWriter,
         arrivedAtMillis: Long
     ) {
         when (val admitted = admit(head, req, body, arrivedAtMillis)) {
             is Outcome.Success -> forwarder.forward(admitted.value, writer)
 
-            is Outcome.Failure -> {
-                logRefused(head, admitted.refusal)
-                writer.refuse(admitted.refusal)
-            }
+            is Outcome.Failure -> refuse(head, writer, admitted.refusal)
         }
     }
 
@@ -121,7 +135,7 @@
     private suspend fun admit(
         head: RequestHead,
         req: HttpRequest,
-        body: HttpData,
+        body: RequestBody,
         arrivedAtMillis: Long
     ): Outcome<AdmittedRequest> {
         var hasBorrowed = false
@@ -154,6 +168,13 @@
         }
     }
 
+    private fun bufferRefusal(head: RequestHead) = Refusal(
+        ErrorKind.OVERLOADED,
+        "no memory for the body, ${buffers.heldBytes} of ${buffers.capacityBytes} bytes are in use",
+        retryAfterMillis = BUFFER_RETRY_MILLIS +
+            Math.floorMod(head.requestId.hashCode(), BUFFER_RETRY_JITTER_MILLIS)
+    )
+
     private fun shutdownRefusal() = Refusal(
         ErrorKind.NOT_READY,
         "the instance is shutting down",
@@ -187,6 +208,15 @@
 
         /** A retry on a new connection reaches another instance. */
         const val OTHER_INSTANCE_RETRY_MILLIS = 20L
+
+        /** About the time for which a server needs the body of a large request. */
+        const val BUFFER_RETRY_MILLIS = 500L
+
+        /** Spreads the retries of callers that were refused at the same time. */
+        const val BUFFER_RETRY_JITTER_MILLIS = 1_000
+
+        /** The longest time for the rest of a refused body before its connection is closed. */
+        const val MAX_DRAIN_MILLIS = 10_000L
     }
 
     private inner class StreamingResponse(
@@ -219,9 +249,16 @@
         }
 
         override fun refuse(refusal: Refusal) {
-            writeHead(protocol.refusalHeaders(refusal, requestId))
-            response.tryWrite(HttpData.ofUtf8(refusal.message))
+            writeRefusal(refusal)
             complete()
         }
+
+        /** Writes the whole of [refusal]; the connection is not used again before [complete]. */
+        fun writeRefusal(refusal: Refusal) {
+            val text = HttpData.ofUtf8(refusal.message)
+            val headers = protocol.refusalHeaders(refusal, requestId).toBuilder()
+            writeHead(headers.contentLength(text.length().toLong()).build())
+            response.tryWrite(text)
+        }
     }
 }
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestBodyReader.kt
@@ -0,0 +1,89 @@
+/*
+ * Reads the body of a request within the buffer budget. A body for which there is no room is read
+ * on and dropped, so that its caller gets a refusal before it has sent all of it, and does not lose
+ * the refusal with a connection that is reset.
+ */
+package mustarddale.instance.serving.forward
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpObject
+import com.linecorp.armeria.common.HttpRequest
+import java.util.concurrent.CompletableFuture
+import mustarddale.serving.buffer.BufferBudget
+import org.reactivestreams.Subscriber
+import org.reactivestreams.Subscription
+
+/** Reads the body of [request] into memory that it takes from [budget]. */
+internal class RequestBodyReader(private val request: HttpRequest, budget: BufferBudget) {
+    private val reservation = budget.reserve()
+    private val body = CompletableFuture<RequestBody?>()
+    private val end = CompletableFuture<Unit>()
+    private var buffer = NO_BYTES
+    private var size = 0
+
+    /** Completes when the caller has sent the whole body. */
+    val whenEnded: CompletableFuture<Unit> get() = end
+
+    /** Reads the body; completes with null as soon as there is no room for it. */
+    fun read(): CompletableFuture<RequestBody?> {
+        val length = request.headers().contentLength()
+        if (length > 0) tryGrow(length)
+        request.subscribe(Collector())
+        return body
+    }
+
+    private fun tryGrow(capacity: Long): Boolean {
+        val isGranted = capacity <= Int.MAX_VALUE && reservation.tryResize(capacity)
+        if (isGranted) {
+            buffer = buffer.copyOf(capacity.toInt())
+        } else {
+            release()
+        }
+        return isGranted
+    }
+
+    private fun append(data: HttpData) {
+        val newSize = size + data.length()
+        if (newSize > buffer.size && !tryGrow(maxOf(2L * buffer.size, newSize.toLong()))) return
+        data.array().copyInto(buffer, size)
+        size = newSize
+    }
+
+    private fun complete() {
+        if (body.isDone) return
+        val bytes = if (buffer.size > size) buffer.copyOf(size) else buffer
+        buffer = NO_BYTES
+        reservation.tryResize(size.toLong())
+        body.complete(RequestBody(HttpData.wrap(bytes), reservation))
+    }
+
+    /** Gives the memory of the body back and drops what still arrives. */
+    fun release() {
+        body.complete(null)
+        buffer = NO_BYTES
+        reservation.release()
+    }
+
+    private inner class Collector : Subscriber<HttpObject> {
+        override fun onSubscribe(subscription: Subscription) = subscription.request(Long.MAX_VALUE)
+
+        override fun onNext(item: HttpObject) {
+            if (item is HttpData && !body.isDone) append(item)
+        }
+
+        override fun onError(cause: Throwable) {
+            body.completeExceptionally(cause)
+            release()
+            end.complete(Unit)
+        }
+
+        override fun onComplete() {
+            complete()
+            end.complete(Unit)
+        }
+    }
+
+    private companion object {
+        val NO_BYTES = ByteArray(0)
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -73,6 +73,8 @@
         answeringBackend?.let { versionGate.recordFirstEvent(it) }
         promptGate.recordAnswer()
         trialGate.recordAnswer()
+        // The server has the whole request, and no other one will get it.
+        if (!mayBeSentAgain()) request.body.release()
     }
 
     private fun recordLost(server: Backend) {
@@ -185,7 +187,12 @@
         try {
             val headers = protocol.backendHeaders(request.headers, backendAttempt(backend))
             val sendResult =
-                backendClient.send(backend.address, request.head.requestId, headers, request.body)
+                backendClient.send(
+                    backend.address,
+                    request.head.requestId,
+                    headers,
+                    request.body.data
+                )
             requestLog.logAttempt(chosen, reportedLoadAgeMillis, sendResult, sentMillis)
             val result = handleResult(backend, load, sendResult, sentMillis)
             outcome = result.outcome
@@ -294,13 +301,17 @@
 
     /** Ends the response as failed and returns true, unless another server may be tried. */
     private fun failUnlessRepeatable(reason: String): Boolean {
+        if (mayBeSentAgain() && !promptGate.mayHaveCrashedServer) return false
+        fail(reason)
+        return true
+    }
+
+    /** Whether the request, which may have run, may be sent to another server. */
+    private fun mayBeSentAgain(): Boolean {
         val repeatability = request.route.repeatability
         val mayRepeat = repeatability == Repeatability.RESUMABLE ||
             repeatability == Repeatability.IDEMPOTENT && !writer.hasStarted
-        val mayContinue = mayRepeat && !promptGate.mayHaveCrashedServer
-        if (mayContinue && possibleExecutions < request.route.maxAttempts) return false
-        fail(reason)
-        return true
+        return mayRepeat && possibleExecutions < request.route.maxAttempts
     }
 
     private fun refuseOrFail(reason: String, retryAfterMillis: Long? = null) {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
@@ -15,6 +15,7 @@
  * @property peerPort the port for connections of other instances.
  * @property quotaSlackTokens by how much an account's use in one window may exceed its limit.
  * @property termGraceMillis the time between SIGTERM and the kill of the process.
+ * @property bufferBytes the most that the instance holds of requests and responses.
  * @property orderLeaseMillis the minimum time between orders of two successive leaders to engines.
  */
 public data class ServingSettings(
@@ -29,5 +30,6 @@
     public val retryLimits: RetryLimits,
     public val quotaSlackTokens: Double,
     public val termGraceMillis: Long,
+    public val bufferBytes: Long,
     public val orderLeaseMillis: Long
 )
--- a/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
@@ -34,6 +34,7 @@
         retryLimits = RetryLimits(windowMillis = 10_000, ratio = 0.2, allowance = 50.0),
         quotaSlackTokens = 7_000.0,
         termGraceMillis = 8_000,
+        bufferBytes = 1_000_000,
         orderLeaseMillis = 3_000
     )
 
