Take responses and incomplete events from the budget of memory

Operators of a similar system saw a process run out of memory on answers without end. Here each response was bounded (4 MiB, 256 KiB for an event), but not their sum: 32 of them fill the heap.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -141,6 +141,7 @@
         platform.protocol,
         settings.failureDomain,
         loans,
+        buffers,
         clock
     )
     private val callerService = CallerService(
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Forwarder.kt
@@ -19,6 +19,7 @@
 import mustarddale.instance.serving.protocol.ServingProtocol
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.BackendSelector
+import mustarddale.serving.buffer.BufferBudget
 import mustarddale.time.Clock
 
 /** Writes the response to one caller. */
@@ -50,6 +51,7 @@
     internal val protocol: ServingProtocol,
     internal val localDomain: String,
     internal val loans: LeaderLoans,
+    internal val buffers: BufferBudget,
     internal val clock: Clock
 ) {
     private val openJobs = HashSet<Job>()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -39,7 +39,7 @@
     private var answeringBackend: Backend? = null
     private val promptGate = PromptGate(request, state, loans)
     private val trialGate = TrialGate(request, state, loans, forwarder.clock)
-    private val relay = ResponseRelay(request, writer, protocol, ::recordAnswer)
+    private val relay = ResponseRelay(request, writer, protocol, forwarder.buffers, ::recordAnswer)
     private val requestLog = RequestLog(request, state.configuration?.version, clock)
     private val versionGate = VersionGate(request, state, loans, requestLog, clock)
     private val permitGate = PermitGate(request, state, loans, requestLog, clock)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/ResponseRelay.kt
@@ -14,6 +14,8 @@
 import kotlinx.coroutines.reactive.collect
 import mustarddale.instance.http.BodyFraming
 import mustarddale.instance.serving.protocol.ServingProtocol
+import mustarddale.serving.buffer.BufferBudget
+import mustarddale.serving.buffer.BufferReservation
 import mustarddale.serving.config.Repeatability
 
 /** Relays the responses to [request] to its caller. */
@@ -21,6 +23,7 @@
     private val request: AdmittedRequest,
     private val writer: ResponseWriter,
     private val protocol: ServingProtocol,
+    private val buffers: BufferBudget,
     private val onAnswered: () -> Unit
 ) {
     private val eventSplitter = EventSplitter(request.head.lastEventId)
@@ -63,11 +66,21 @@
         headers.contentType()?.`is`(MediaType.EVENT_STREAM) ?: true
 
     private suspend fun relayBuffered(response: SendResult.Responded): String? {
+        val reservation = buffers.reserve()
+        return try {
+            relayBuffered(response, reservation)
+        } finally {
+            reservation.release()
+        }
+    }
+
+    private suspend fun relayBuffered(
+        response: SendResult.Responded,
+        reservation: BufferReservation
+    ): String? {
         val chunks = ArrayList<HttpData>()
-        var bufferedBytes = 0
         val failure = readBody(response) {
-            bufferedBytes += it.length()
-            if (bufferedBytes > MAX_BUFFERED_BYTES) throw IOException("the response is too large")
+            hold(reservation.bytes + it.length(), reservation, MAX_BUFFERED_BYTES)
             chunks.add(it)
         }
         if (failure != null) return failure
@@ -79,6 +92,19 @@
     }
 
     private suspend fun relayStream(response: SendResult.Responded, isResumed: Boolean): String? {
+        val reservation = buffers.reserve()
+        return try {
+            relayStream(response, isResumed, reservation)
+        } finally {
+            reservation.release()
+        }
+    }
+
+    private suspend fun relayStream(
+        response: SendResult.Responded,
+        isResumed: Boolean,
+        reservation: BufferReservation
+    ): String? {
         val isResumable = request.route.repeatability == Repeatability.RESUMABLE
         val scanner = EventScanner()
         val failure = readBody(response) { data ->
@@ -86,9 +112,7 @@
             val completeBytes = scanner.scan(bytes)
             val passedBytes = if (isResumable) eventSplitter.append(bytes, completeBytes) else bytes
             if (scanner.hasCompleteEvent) recordAnswered()
-            if (isResumable && scanner.partialEventBytes > MAX_EVENT_BYTES) {
-                throw IOException("an event is too large")
-            }
+            if (isResumable) hold(scanner.partialEventBytes.toLong(), reservation, MAX_EVENT_BYTES)
             if (passedBytes.isNotEmpty()) writer.writeBody(HttpData.wrap(passedBytes))
         }
         partialEventBytes = scanner.partialEventBytes
@@ -102,6 +126,12 @@
         }
     }
 
+    /** Takes [bytes] for a response; throws [IOException] if it is too large or has no room. */
+    private fun hold(bytes: Long, reservation: BufferReservation, maxBytes: Int) {
+        if (bytes > maxBytes) throw IOException("more than $maxBytes bytes to hold")
+        if (!reservation.tryResize(bytes)) throw IOException("no memory for the response")
+    }
+
     private fun recordAnswered() {
         if (isAnswered) return
         isAnswered = true
