--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
@@ -33,6 +33,11 @@
     private var nextPermitMillis = 0L
     private var permitRefusedPriority = 0
     private var restUntilMillis = 0L
+    private var hasResponded = false
+    private var hasLostRequest = false
+
+    /** Whether requests were lost, and the server has never responded to one. */
+    public val isUnproven: Boolean get() = hasLostRequest && !hasResponded
 
     /** The number of this instance's requests that are in flight to the server. */
     public var inFlight: Int = 0
@@ -53,6 +58,7 @@
             successiveLosses = 0
             return
         }
+        hasLostRequest = true
         successiveLosses++
         if (successiveLosses >= SUSPICION_LOSSES) {
             val doublings = (successiveLosses - SUSPICION_LOSSES).coerceAtMost(MAX_DOUBLINGS)
@@ -60,6 +66,11 @@
         }
     }
 
+    /** Records that the server has responded to a request, whatever the response says. */
+    public fun recordResponse() {
+        hasResponded = true
+    }
+
     /** Records the load that the server reported in a response. */
     public fun report(load: ReportedLoad, nowMillis: Long) {
         reportedOtherRequests = max(0, load.running + load.waiting - inFlight).toDouble()
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
@@ -71,7 +71,11 @@
         body: HttpData
     ): SendResult {
         val captor = Clients.newContextCaptor()
-        val response = captor.use { clientOf(address).execute(HttpRequest.of(headers, body)) }
+        val response = try {
+            captor.use { clientOf(address).execute(HttpRequest.of(headers, body)) }
+        } catch (e: Exception) {
+            return SendResult.NotSent("the request cannot be sent to $address: $e")
+        }
         return try {
             awaitResponse(response, requestId, captor.get())
         } catch (e: CancellationException) {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -4,6 +4,7 @@
  */
 package mustarddale.instance.serving.forward
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.error.ErrorKind
 import mustarddale.error.Refusal
@@ -175,6 +176,7 @@
     )
 
     /** Sends the request to the server [chosen]; true if the caller has its final response. */
+    @Suppress("TooGenericExceptionCaught")
     private suspend fun sendTo(chosen: BackendSelection.Selected): Boolean {
         val backend = chosen.backend
         val load = state.loadOf(backend)
@@ -197,6 +199,12 @@
             val result = handleResult(backend, load, sendResult, sentMillis)
             outcome = result.outcome
             return result.isFinal
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            outcome = RequestOutcome.LOST
+            possibleExecutions++
+            return failUnlessRepeatable("sending the request failed: $e")
         } finally {
             load.recordOutcome(outcome, clock.monotonicMillis())
             trialGate.endAttempt()
@@ -220,6 +228,7 @@
 
             is SendResult.NotRun -> {
                 mayBeRunning = false
+                load.recordResponse()
                 result.head.load?.let { load.report(it, nowMillis) }
                 if (result.isMisdirected) {
                     request.head.model?.let { state.markAbsent(backend, it) }
@@ -237,6 +246,7 @@
 
             is SendResult.Responded -> {
                 possibleExecutions++
+                load.recordResponse()
                 state.suspectedRequests.recordResponse(backend.run, sentMillis)
                 result.head.load?.let { load.report(it, nowMillis) }
                 recordNotices(backend, load, result.head, sentMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -238,8 +238,12 @@
         ) {
             return backend.copy(models = persistentMapOf())
         }
-        val models = residency.modelsOf(backend.id, nowMillis) ?: return backend
-        return backend.copy(models = models)
+        val models = residency.modelsOf(backend.id, nowMillis)
+        // What an entry says is not believed of a server that nothing has reached.
+        if (models == null && loadOf(backend).isUnproven) {
+            return backend.copy(models = persistentMapOf())
+        }
+        return if (models == null) backend else backend.copy(models = models)
     }
 
     /** Returns the retry budget of [service]. */
--- a/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
@@ -9,6 +9,9 @@
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendAddress
+import mustarddale.serving.backend.BackendLoad
+import mustarddale.serving.backend.ModelRef
+import mustarddale.serving.backend.RequestOutcome
 import mustarddale.serving.config.CallerLimits
 import mustarddale.serving.config.ServiceConfig
 import mustarddale.serving.config.ServingConfiguration
@@ -63,6 +66,39 @@
         limits = CallerLimits(16_384, 4_194_304, 3_000, 15_000)
     )
 
+    /** Guards against models that are never loaded because an entry that is untrue names them. */
+    @Test
+    fun `a server that no request has reached does not count as a holder of models`() {
+        data class Case(val name: String, val isHolder: Boolean, val use: (BackendLoad) -> Unit)
+
+        val cases = listOf(
+            Case("not used", isHolder = true) {},
+            Case("lost the first request", isHolder = false) { lose(it) },
+            Case("lost a request after a response", isHolder = true) {
+                it.recordResponse()
+                lose(it)
+            },
+            Case("responds after a lost request", isHolder = true) {
+                lose(it)
+                it.recordResponse()
+            },
+            Case("the caller left", isHolder = true) {
+                it.recordOutcome(RequestOutcome.GOOD, nowMillis)
+            }
+        )
+        cases.forEach { case ->
+            val state = ServingState(settings, clock)
+            val models = persistentMapOf("m" to persistentSetOf<String>())
+            val server = backend("i-a", "a").copy(models = models)
+            state.apply(listOfNotNull(state.directory.put(server)))
+            case.use(state.loadOf(server))
+            val holder = state.candidates("scribe", ModelRef("m")).single().backend
+            assertEquals(case.isHolder, holder.holds(ModelRef("m")), case.name)
+        }
+    }
+
+    private fun lose(load: BackendLoad) = load.recordOutcome(RequestOutcome.LOST, nowMillis)
+
     @Test
     fun `servers of a failure domain that returns are not flooded before they say they are cold`() {
         val state = ServingState(settings, clock)
