Ask again later for permits when a cold server allows no request

Seen by the review: with coldPerS 0 each permit threw at the leader; a booking got 500 and the members' links ended. Cause: the oldest grant of an empty queue. ColdStartLimiterTest red before (NoSuchElementException), green now.

--- a/core/src/main/kotlin/mustarddale/serving/backend/ColdStartLimiter.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/ColdStartLimiter.kt
@@ -19,7 +19,8 @@
 
     /**
      * Requests a permit for a request to [backend], which can handle [requestsPerSecond] while it
-     * is cold; returns 0 if it is granted, else the milliseconds until the next one is available.
+     * is cold; returns 0 if it is granted, else the milliseconds until the next one may be
+     * available.
      */
     public fun request(backend: String, requestsPerSecond: Double, nowMillis: Long): Long {
         val firstGrantAtMillis = startMillis + WINDOW_MILLIS
@@ -29,7 +30,8 @@
             grants.removeFirst()
         }
         if (grants.size >= ceil(requestsPerSecond)) {
-            return grants.first() + WINDOW_MILLIS - nowMillis
+            val oldestMillis = grants.firstOrNull() ?: nowMillis
+            return oldestMillis + WINDOW_MILLIS - nowMillis
         }
         grants.addLast(nowMillis)
         return 0
--- a/core/src/test/kotlin/mustarddale/serving/backend/ColdStartLimiterTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/backend/ColdStartLimiterTest.kt
@@ -23,6 +23,7 @@
                 2.0,
                 listOf(0, 0, 1_050, 1, 0)
             ),
+            Case("none for a rate of zero", listOf(2_000, 2_100), 0.0, listOf(1_250, 1_250)),
             Case("one for a rate below one", listOf(2_000, 2_100), 0.5, listOf(0, 1_150))
         )
         cases.forEach { case ->
