Accept heads of requests up to the operators' limit

Callers saw 431 for headers above 8 KiB and 414 for targets above 4 KiB, where operators allow 16,384 bytes: the HTTP library's defaults. RequestForwardingTest red before, green now.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -165,6 +165,8 @@
         .childChannelPipelineCustomizer(RequestTarget::preserveIn)
         .requestTimeoutMillis(0)
         .maxRequestLength(MAX_REQUEST_BYTES)
+        .http1MaxInitialLineLength(MAX_HEAD_BYTES)
+        .http1MaxHeaderSize(MAX_HEAD_BYTES)
         .idleTimeoutMillis(CALLER_IDLE_TIMEOUT_MILLIS)
         .gracefulShutdownTimeoutMillis(0, 0)
         .service(
@@ -315,6 +317,9 @@
         /** Above the highest limit that operators have configured (4 MiB). */
         const val MAX_REQUEST_BYTES = 8L * 1_024 * 1_024
 
+        /** Above the configured limit for the head of a request (16 KiB). */
+        const val MAX_HEAD_BYTES = 32 * 1_024
+
         /** Longer than the configured idle timeout of callers (15 s). */
         const val CALLER_IDLE_TIMEOUT_MILLIS = 30_000L
 
