--- a/core/src/main/kotlin/mustarddale/serving/config/ServingConfiguration.kt
+++ b/core/src/main/kotlin/mustarddale/serving/config/ServingConfiguration.kt
@@ -129,8 +129,8 @@
     /** Returns the model [name], also if it has been removed, null if it is not known. */
     public fun modelOf(name: String): ModelSpec? = models[name] ?: removedModels[name]
 
-    /** Returns this specification with the models of [previous] that it no longer has. */
-    public fun after(previous: EngineSpec): EngineSpec = copy(
+    /** Returns this specification with the models of [previous] that it lacks as removed ones. */
+    public fun withRemovedModelsOf(previous: EngineSpec): EngineSpec = copy(
         removedModels = (previous.removedModels + previous.models)
             .filterKeys { it !in models }
             .toImmutableMap()
--- a/core/src/test/kotlin/mustarddale/serving/residency/PlacementSimulationTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/residency/PlacementSimulationTest.kt
@@ -62,7 +62,7 @@
             val isLast = nowMillis == LAST_CHANGE_MILLIS
             if (!isLast && random.nextInt(100) != 0) return
             val models = spec.models.filterKeys { isLast || random.nextBoolean() }.toImmutableMap()
-            planWith(spec.copy(models = models).after(plannedSpec))
+            planWith(spec.copy(models = models).withRemovedModelsOf(plannedSpec))
         }
 
         private fun planWith(nextSpec: EngineSpec) {
--- a/core/src/test/kotlin/mustarddale/serving/residency/ResidencyPlannerTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/residency/ResidencyPlannerTest.kt
@@ -89,7 +89,7 @@
         val all = SimulatedEngine.spec
         val remaining = all.models.filterKeys { it != "m1" }.toImmutableMap()
         val specs = listOf(
-            "known" to all.copy(models = remaining).after(all),
+            "known" to all.copy(models = remaining).withRemovedModelsOf(all),
             "not known" to all.copy(models = remaining)
         )
         cases.flatMap { case -> specs.map { case to it } }.forEach { (case, namedSpec) ->
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestBodyReader.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestBodyReader.kt
@@ -27,11 +27,18 @@
     /** Reads the body; completes with null as soon as there is no room for it. */
     fun read(): CompletableFuture<RequestBody?> {
         val length = request.headers().contentLength()
-        if (length > 0) tryGrow(length)
+        if (length in 1..MAX_ANNOUNCED_BYTES) tryGrow(length)
         request.subscribe(Collector())
         return body
     }
 
+    /** Gives the memory of the body back and drops what still arrives. */
+    fun release() {
+        body.complete(null)
+        buffer = NO_BYTES
+        reservation.release()
+    }
+
     private fun tryGrow(capacity: Long): Boolean {
         val isGranted = capacity <= Int.MAX_VALUE && reservation.tryResize(capacity)
         if (isGranted) {
@@ -57,13 +64,6 @@
         body.complete(RequestBody(HttpData.wrap(bytes), reservation))
     }
 
-    /** Gives the memory of the body back and drops what still arrives. */
-    fun release() {
-        body.complete(null)
-        buffer = NO_BYTES
-        reservation.release()
-    }
-
     private inner class Collector : Subscriber<HttpObject> {
         override fun onSubscribe(subscription: Subscription) = subscription.request(Long.MAX_VALUE)
 
@@ -84,6 +84,8 @@
     }
 
     private companion object {
+        /** Above the operators' limit; the server ends a longer body where it exceeds its limit. */
+        const val MAX_ANNOUNCED_BYTES = 8L * 1_024 * 1_024
         val NO_BYTES = ByteArray(0)
     }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/ServicePlacement.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ServicePlacement.kt
@@ -23,7 +23,8 @@
     nowMillis: Long
 ) {
     /** The configured specification with what engines may still hold of earlier ones. */
-    val spec: EngineSpec = previous?.let { configuredSpec.after(it.spec) } ?: configuredSpec
+    val spec: EngineSpec =
+        previous?.let { configuredSpec.withRemovedModelsOf(it.spec) } ?: configuredSpec
     val modelPlanner = ResidencyPlanner(spec, leadingSinceMillis)
     val adapterPlanner = AdapterPlanner(spec)
     val demand: ModelDemand = previous?.demand ?: ModelDemand()
--- a/instance/src/test/kotlin/mustarddale/instance/serving/RoundsTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/RepeatRoundsTest.kt
@@ -6,7 +6,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.runBlocking
 
-class RoundsTest {
+class RepeatRoundsTest {
     /** Guards against work that ends for good with the first exception. */
     @Test
     fun `failed rounds are counted in a row and followed by the next one`() {
