Split the wait for a model off the forwarding of a request

ModelGate is the waiting for a model, moved without a change of behaviour; the class was too long before.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -59,7 +59,7 @@
         openRequests++
         onRequest(ctx)
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
-            handle(ctx, req, response, arrivedAtMillis)
+            handle(req, response, arrivedAtMillis)
         }
         response.whenComplete().whenComplete { _, _ -> job.cancel() }
         ctx.log().partial().channel()?.let { cancelOnClose(it, job) }
@@ -69,7 +69,6 @@
 
     @Suppress("TooGenericExceptionCaught")
     private suspend fun handle(
-        ctx: ServiceRequestContext,
         req: HttpRequest,
         response: HttpResponseWriter,
         arrivedAtMillis: Long
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -5,7 +5,6 @@
 package mustarddale.instance.serving.forward
 
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.error.ErrorKind
 import mustarddale.error.Refusal
 import mustarddale.instance.serving.protocol.BackendAttempt
@@ -17,9 +16,6 @@
 import mustarddale.serving.backend.Candidate
 import mustarddale.serving.backend.RequestOutcome
 import mustarddale.serving.config.Repeatability
-import mustarddale.serving.residency.AbsentModelDecision
-import mustarddale.serving.residency.AbsentModelPolicy
-import mustarddale.serving.residency.AbsentModelRequest
 
 /** Forwards [request] with the parts of [forwarder] and writes its response to [writer]. */
 internal class RequestForwarding(
@@ -43,6 +39,7 @@
     private val relay = ResponseRelay(request, writer, protocol, forwarder.buffers, ::recordAnswer)
     private val requestLog = RequestLog(request, state.configuration?.version, clock)
     private val versionGate = VersionGate(request, state, loans, requestLog, clock)
+    private val modelGate = ModelGate(request, state, versionGate, requestLog, clock)
     private val permitGate = PermitGate(request, state, loans, requestLog, clock)
 
     /** Tries servers in turn until the caller has a complete response, a refusal or an abort. */
@@ -104,7 +101,10 @@
                     return null
                 }
 
-                BackendSelection.NotResident -> if (!awaitModel(nowMillis)) return null
+                BackendSelection.NotResident -> modelGate.refusal(candidates)?.let {
+                    refuseOrFail(it.message, it.retryAfterMillis)
+                    return null
+                }
 
                 BackendSelection.NoCapacity -> {
                     val permitWaitMillis = permitGate.waitMillis(candidates, nowMillis)
@@ -134,47 +134,6 @@
     private fun mayRetry(nowMillis: Long): Boolean =
         state.retryBudgetOf(request.service).tryAcquire(state.instanceCount, nowMillis)
 
-    /** Waits for the model or refuses the request; true if servers are to be checked again. */
-    private suspend fun awaitModel(nowMillis: Long): Boolean {
-        val serviceModel = ServiceModel(request.service, checkNotNull(request.head.model))
-        if (!state.modelWaiters.hasCapacity(MAX_MODEL_WAITERS)) {
-            refuseOrFail("too many requests are waiting for models")
-            return false
-        }
-        val expectedAtMillis =
-            state.expectedAtMillis(request.service, serviceModel.requestedModel.model) {
-                versionGate.allows(it)
-            }
-        val absent = absentModelRequest(serviceModel)
-        val decision = AbsentModelPolicy.decide(absent, expectedAtMillis, nowMillis)
-        if (decision is AbsentModelDecision.Wait && !state.modelWaiters.isClosed) {
-            state.onUrgentDemand()
-            val waitMillis = minOf(decision.untilMillis - nowMillis, MODEL_RECHECK_MILLIS)
-            withTimeoutOrNull(waitMillis.coerceAtLeast(1)) {
-                state.modelWaiters.await(serviceModel)
-            }
-            requestLog.modelWaitMillis += clock.monotonicMillis() - nowMillis
-            return true
-        }
-        val expected = expectedAtMillis?.let { "expected in ${it - nowMillis} ms" } ?: "not loading"
-        val retryMillis = (decision as? AbsentModelDecision.RetryLater)?.let {
-            it.retryAfterMillis + jitterMillis(MODEL_RETRY_JITTER_MILLIS)
-        }
-        retryMillis?.let { state.modelWaiters.recordDeferredRetry(serviceModel, nowMillis + it) }
-        refuseOrFail("no server holds model ${serviceModel.requestedModel}, $expected", retryMillis)
-        state.onUrgentDemand()
-        return false
-    }
-
-    private fun absentModelRequest(serviceModel: ServiceModel) = AbsentModelRequest(
-        arrivedAtMillis = request.arrivedAtMillis,
-        callerTimeoutAtMillis = request.firstByteDeadlineAtMillis,
-        latencyTargetMillis = request.route.latencyTargetMillis,
-        lacksAdapterOnly = serviceModel.requestedModel.adapter != null &&
-            candidates()
-                .any { serviceModel.requestedModel.model in it.backend.models }
-    )
-
     /** Sends the request to the server [chosen]; true if the caller has its final response. */
     @Suppress("TooGenericExceptionCaught")
     private suspend fun sendTo(chosen: BackendSelection.Selected): Boolean {
@@ -369,18 +328,9 @@
         Math.floorMod(request.head.requestId.hashCode(), maxMillis).toLong()
 
     private companion object {
-        /** How often a waiting request checks whether the expected load time has changed. */
-        const val MODEL_RECHECK_MILLIS = 200L
-
-        /** Spreads the retries for a model that has just been loaded. */
-        const val MODEL_RETRY_JITTER_MILLIS = 150
-
         /** Above the failure rate of healthy servers, 0.14 for one kind of request. */
         const val RETRY_FAILURE_SCORE = 0.25
 
-        /** Bounds the memory of waiting requests, which take a few kilobytes each. */
-        const val MAX_MODEL_WAITERS = 500
-
         /** About the duration of one request, after which a slot is free. */
         const val RETRY_AFTER_MILLIS = 400L
 
