Believe entries of servers that requests reach, and of others again after 4 s

Change: only servers to which no request could be written count as holding nothing, for 4 s after each try. NamesTest red before, green now; ServingStateTest has both.

--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
@@ -33,11 +33,8 @@
     private var nextPermitMillis = 0L
     private var permitRefusedPriority = 0
     private var restUntilMillis = 0L
-    private var hasResponded = false
-    private var hasLostRequest = false
-
-    /** Whether requests were lost, and the server has never responded to one. */
-    public val isUnproven: Boolean get() = hasLostRequest && !hasResponded
+    private var hasBeenReached = false
+    private var unreachableUntilMillis = 0L
 
     /** The number of this instance's requests that are in flight to the server. */
     public var inFlight: Int = 0
@@ -58,7 +55,6 @@
             successiveLosses = 0
             return
         }
-        hasLostRequest = true
         successiveLosses++
         if (successiveLosses >= SUSPICION_LOSSES) {
             val doublings = (successiveLosses - SUSPICION_LOSSES).coerceAtMost(MAX_DOUBLINGS)
@@ -66,11 +62,15 @@
         }
     }
 
-    /** Records that the server has responded to a request, whatever the response says. */
-    public fun recordResponse() {
-        hasResponded = true
+    /** Records whether a request [isSent], that is, written on a connection to the server. */
+    public fun recordReached(isSent: Boolean, nowMillis: Long) {
+        if (isSent) hasBeenReached = true else unreachableUntilMillis = nowMillis + RETRY_MILLIS
     }
 
+    /** Whether no request has ever reached the server, and the last try was a short time ago. */
+    public fun isUnreachable(nowMillis: Long): Boolean =
+        !hasBeenReached && nowMillis < unreachableUntilMillis
+
     /** Records the load that the server reported in a response. */
     public fun report(load: ReportedLoad, nowMillis: Long) {
         reportedOtherRequests = max(0, load.running + load.waiting - inFlight).toDouble()
@@ -162,6 +162,9 @@
          */
         const val SUSPICION_MILLIS = 500L
 
+        /** The interval of tries to reach a server that none has reached yet. */
+        const val RETRY_MILLIS = 4_000L
+
         /** Bounds what an absurd time of a faulty server costs. */
         const val MAX_REST_MILLIS = 3_600_000L
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -179,6 +179,7 @@
         sentMillis: Long
     ): AttemptResult {
         val nowMillis = clock.monotonicMillis()
+        load.recordReached(isSent = result !is SendResult.NotSent, nowMillis)
         return when (result) {
             is SendResult.NotSent -> {
                 mayBeRunning = false
@@ -187,7 +188,6 @@
 
             is SendResult.NotRun -> {
                 mayBeRunning = false
-                load.recordResponse()
                 result.head.load?.let { load.report(it, nowMillis) }
                 if (result.isMisdirected) {
                     request.head.model?.let { state.markAbsent(backend, it) }
@@ -205,7 +205,6 @@
 
             is SendResult.Responded -> {
                 possibleExecutions++
-                load.recordResponse()
                 state.suspectedRequests.recordResponse(backend.run, sentMillis)
                 result.head.load?.let { load.report(it, nowMillis) }
                 recordNotices(backend, load, result.head, sentMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -240,7 +240,7 @@
         }
         val models = residency.modelsOf(backend.id, nowMillis)
         // What an entry says is not believed of a server that nothing has reached.
-        if (models == null && loadOf(backend).isUnproven) {
+        if (models == null && loadOf(backend).isUnreachable(nowMillis)) {
             return backend.copy(models = persistentMapOf())
         }
         return if (models == null) backend else backend.copy(models = models)
--- a/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/ServingStateTest.kt
@@ -73,17 +73,21 @@
 
         val cases = listOf(
             Case("not used", isHolder = true) {},
-            Case("lost the first request", isHolder = false) { lose(it) },
-            Case("lost a request after a response", isHolder = true) {
-                it.recordResponse()
-                lose(it)
+            Case("not reached", isHolder = false) { it.recordReached(false, nowMillis) },
+            Case("not reached some time ago", isHolder = true) {
+                it.recordReached(false, nowMillis - 4_000)
             },
-            Case("responds after a lost request", isHolder = true) {
-                lose(it)
-                it.recordResponse()
+            Case("reached before", isHolder = true) {
+                it.recordReached(true, nowMillis)
+                it.recordReached(false, nowMillis)
             },
-            Case("the caller left", isHolder = true) {
-                it.recordOutcome(RequestOutcome.GOOD, nowMillis)
+            Case("reached after that", isHolder = true) {
+                it.recordReached(false, nowMillis)
+                it.recordReached(true, nowMillis)
+            },
+            Case("lost a request that was sent", isHolder = true) {
+                it.recordReached(true, nowMillis)
+                it.recordOutcome(RequestOutcome.LOST, nowMillis)
             }
         )
         cases.forEach { case ->
@@ -97,8 +101,6 @@
         }
     }
 
-    private fun lose(load: BackendLoad) = load.recordOutcome(RequestOutcome.LOST, nowMillis)
-
     @Test
     fun `servers of a failure domain that returns are not flooded before they say they are cold`() {
         val state = ServingState(settings, clock)
