--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
@@ -79,6 +79,9 @@
     /** The number of instances that may hold shares. */
     public val holderCount: Int get() = (holdings.keys + unreportedHolders.keys).size
 
+    /** The instances whose shares of earlier leaders count, because they have not reported yet. */
+    public val unreportedInstances: Set<String> get() = unreportedHolders.keys
+
     /** Returns how many of these instances have a name that is before [instance] in order. */
     public fun rankOf(instance: String): Int =
         (holdings.keys + unreportedHolders.keys).count { it < instance }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
@@ -5,6 +5,7 @@
  */
 package mustarddale.instance.serving.leader
 
+import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.leadership.LeadershipTerm
 import mustarddale.serving.quota.AccountQuota
@@ -41,6 +42,7 @@
     private var grants = emptyMap<String, ShareGrant>()
     private var grantedAtMillis = 0L
     private var hasNewHolder = false
+    private var loggedUnreportedCount = 0
 
     /** The number of instances that may hold shares. */
     val holderCount: Int get() = allocator.holderCount
@@ -105,6 +107,19 @@
         if (hasNewHolder || nowMillis - grantedAtMillis >= GRANT_INTERVAL_MILLIS) grant(nowMillis)
     }
 
+    private fun logWithheld() {
+        val unreported = allocator.unreportedInstances
+        if (unreported.size == loggedUnreportedCount) return
+        loggedUnreportedCount = unreported.size
+        DecisionLog.record(
+            "shares_withheld",
+            "term" to leadership.term,
+            "unreported" to unreported.size,
+            "some" to unreported.take(MAX_LOGGED_INSTANCES),
+            "holders" to holderCount
+        )
+    }
+
     private fun grant(nowMillis: Long) {
         if (nowMillis - grantedAtMillis > MAX_GRANT_GAP_MILLIS) {
             // The process was paused: other instances may have used what the pool accumulated.
@@ -116,6 +131,7 @@
         grants = allocator.grant(names, recordedHolders, nowMillis)
         val lendable = names.associateWith { allocator.lendableShare(it, nowMillis) }
         pool.setShares(lendable, accounts, nowMillis)
+        logWithheld()
         if (hasNewHolder) {
             hasNewHolder = false
             onNewHolder()
@@ -135,6 +151,8 @@
         /** Above the usual interval; a longer gap means that the event loop was blocked. */
         private const val MAX_GRANT_GAP_MILLIS = 380L
 
+        private const val MAX_LOGGED_INSTANCES = 4
+
         /** Until both sides have the same configuration, one may not know the account. */
         private const val UNKNOWN_ACCOUNT_WAIT_MILLIS = 200L
     }
