Take back the shares of processes that have ended

Cause: a new leader counts what each earlier process may hold, by records that add up to 1.5 of what is granted, and learned only from the next process of an instance that the one before had ended. The leader now tries to connect to the processes that are silent. A process listens for other instances as long as it runs, so two refused connections show that it has ended; a frozen process and a machine that is cut off refuse nothing, and their shares count as before.

ShareSimulationTest has processes that end, alone and all at once, and fleets of 95 and 300.

--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
@@ -2,7 +2,7 @@
  * Divides the rates of client accounts among instances by demand: each instance is granted a share
  * of each rate, from 0 to 1. A share counts as held from the moment before it is granted until the
  * instance has confirmed a smaller one, its process has been replaced, or its lease has expired;
- * only what no instance can hold is granted. The shares in use therefore never add up to more than
+ * only what no instance can hold is granted. A process that is known to have ended holds nothing. The shares in use therefore never add up to more than
  * the total, even if messages are lost. The leader lends the rest of each rate, less what
  * unreachable instances may use instead (see EffectiveShares).
  */
@@ -10,6 +10,7 @@
 
 import kotlin.math.ceil
 import kotlinx.serialization.Serializable
+import mustarddale.serving.leadership.InstanceAddress
 
 /**
  * An instance's report to the leader on its shares.
@@ -20,6 +21,7 @@
  * @property requestedTokens the tokens that callers requested since the last report, by account.
  * @property confirmedSentMillis when the leader sent the newest message that the instance has
  *   processed, by the leader's clock; null if it has processed none of the current leader.
+ * @property address where its process listens, null if that is known from an earlier report.
  */
 public data class ShareReport(
     public val instance: String,
@@ -27,7 +29,8 @@
     public val confirmedRevision: Long,
     public val currentShares: Map<String, Double>,
     public val requestedTokens: Map<String, Double>,
-    public val confirmedSentMillis: Long?
+    public val confirmedSentMillis: Long?,
+    public val address: InstanceAddress? = null
 )
 
 /** The shares granted to one instance, by account. */
@@ -38,13 +41,15 @@
  *
  * @property otherMaxShare the limit for each account that is not in [maxShares].
  * @property leftMillis the remaining duration of the lease at the time of the record.
+ * @property address where the process listens, null if it is not known.
  */
 @Serializable
 public data class ShareHolder(
     public val instance: String,
     public val otherMaxShare: Double,
     public val leftMillis: Long,
-    public val maxShares: Map<String, Double> = emptyMap()
+    public val maxShares: Map<String, Double> = emptyMap(),
+    public val address: InstanceAddress? = null
 ) {
     /** Returns the largest share of [account] that the instance may hold. */
     public fun maxShare(account: String): Double = maxShares[account] ?: otherMaxShare
@@ -99,13 +104,31 @@
                 instance,
                 otherMaxShare,
                 leaseMillis + LEASE_MARGIN_MILLIS,
-                maxShares.filterValues { it > otherMaxShare }
+                maxShares.filterValues { it > otherMaxShare },
+                holding.address
             )
         }
         return known +
             unreportedHolders.values.map { it.copy(leftMillis = leftMillis(it, nowMillis)) }
     }
 
+    /** Returns where the processes listen that may hold shares and have not reported lately. */
+    public fun silentHolders(nowMillis: Long): Map<String, InstanceAddress> {
+        val silent = holdings.filterValues { nowMillis - it.reportedAtMillis >= SILENT_MILLIS }
+            .mapValues { it.value.address }
+        val unreported = unreportedHolders.mapValues { it.value.address }
+        return (unreported + silent)
+            .mapNotNull { (instance, address) -> address?.let { instance to it } }.toMap()
+    }
+
+    /** Records that the process of [instance] had ended at [atMillis], and holds no shares. */
+    public fun recordEnded(instance: String, atMillis: Long) {
+        unreportedHolders.remove(instance)
+        if (holdings[instance]?.let { it.reportedAtMillis < atMillis } == true) {
+            holdings.remove(instance)
+        }
+    }
+
     /** Adds headroom and rounds up to four decimal places, which keeps the records small. */
     private fun withHeadroom(share: Double): Double =
         (ceil(share * GROWTH_HEADROOM * SHARE_STEPS) / SHARE_STEPS).coerceAtMost(total)
@@ -123,6 +146,7 @@
         val holding = known ?: Holding(report.run, report.currentShares)
         holdings[report.instance] = holding
         holding.reportedAtMillis = nowMillis
+        report.address?.let { holding.address = it }
         if (report.confirmedRevision == holding.sent.revision) holding.prior = holding.sent.shares
         report.requestedTokens.forEach { (account, tokens) ->
             holding.demand.merge(account, tokens, Double::plus)
@@ -215,6 +239,7 @@
         /** The newest grant. */
         var sent = ShareGrant(revision = 0, shares = reportedShares)
         var reportedAtMillis = 0L
+        var address: InstanceAddress? = null
         var confirmedSentMillis: Long? = null
         val demand = HashMap<String, Double>()
         val accounts: Set<String> get() = prior.keys + sent.shares.keys
@@ -244,6 +269,9 @@
         /** Recent demand decides, as bursts last three seconds or more. */
         const val DEMAND_DECAY_MILLIS = 2_000.0
 
+        /** Two report intervals. */
+        const val SILENT_MILLIS = 500L
+
         /** An instance counts its lease from the earlier time at which it sent its report. */
         const val LEASE_MARGIN_MILLIS = 500L
     }
--- a/core/src/test/kotlin/mustarddale/serving/quota/ShareAllocatorTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/quota/ShareAllocatorTest.kt
@@ -3,6 +3,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import mustarddale.serving.leadership.InstanceAddress
 
 class ShareAllocatorTest {
     private val leaseMillis = LEASE_MILLIS
@@ -40,6 +41,29 @@
         }
     }
 
+    @Test
+    fun `what a process that has ended held is granted to others`() {
+        class Case(val name: String, val reportedAtMillis: Long?, val expected: Double)
+
+        val endedAtMillis = 1_000L
+        val cases = listOf(
+            Case("it has not reported to this leader", null, 1.0),
+            Case("its last report is older than the end", 900, 1.0),
+            Case("another process has reported since", 1_100, 0.5)
+        )
+        cases.forEach { case ->
+            val lost = ShareHolder("gone", 0.5, 9_000, address = InstanceAddress("10.0.0.1", 7_600))
+            val recorded = listOf("a", "gone").map { ShareHolder(it, 1.0, leaseMillis) }
+            val allocator = ShareAllocator(listOf(lost), 1.0, leaseMillis, startMillis = 0)
+            assertEquals(setOf("gone"), allocator.silentHolders(0).keys, case.name)
+            case.reportedAtMillis?.let { allocator.report(report("gone", 0.0), it) }
+            allocator.recordEnded("gone", endedAtMillis)
+            allocator.report(report("a", 0.0), 1_200)
+            val grant = allocator.grant(listOf(account), recorded, 1_200).getValue("a")
+            assertEquals(case.expected, grant.shares.getValue(account), 1e-9, case.name)
+        }
+    }
+
     @Test
     fun `the share of an unreported instance reduces the shares of all others alike`() {
         val names = listOf("a", "b", "c", "d")
--- a/core/src/test/kotlin/mustarddale/serving/quota/ShareSimulationTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/quota/ShareSimulationTest.kt
@@ -1,6 +1,7 @@
 package mustarddale.serving.quota
 
 import java.util.Random
+import mustarddale.serving.leadership.InstanceAddress
 import kotlin.test.assertTrue
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
@@ -29,6 +30,9 @@
         fun usableShares(nowMillis: Long) =
             effectiveShares.compute(leasedShares(nowMillis), TOTAL, nowMillis)
 
+        /** Until when the process has ended and the next one has not started. */
+        var endedUntilMillis = 0L
+
         fun restart() {
             run++
             revision = 0
@@ -43,7 +47,8 @@
             if (this.term == term) revision else 0,
             leasedShares(nowMillis),
             mapOf(ACCOUNT to random.nextInt(1_000).toDouble()),
-            confirmedSentMillis.takeIf { this.term == term }
+            confirmedSentMillis.takeIf { this.term == term },
+            InstanceAddress("10.0.0.1", 7_600)
         )
 
         fun apply(term: Int, grant: ShareGrant, reportSentMillis: Long, nowMillis: Long) {
@@ -58,9 +63,9 @@
         }
     }
 
-    private class Fleet(seed: Long) {
+    private class Fleet(seed: Long, size: Int) {
         private val random = Random(seed)
-        private val instances = List(5) { SimulatedInstance("m$it") }
+        private val instances = List(size) { SimulatedInstance("m$it") }
         private var term = 1
         private var recorded = emptyList<ShareHolder>()
         private var allocator = ShareAllocator(emptyList(), TOTAL, LEASE_MILLIS, 0)
@@ -70,8 +75,11 @@
 
         fun step(nowMillis: Long) {
             changeLeader(nowMillis)
+            if (random.nextInt(200) == 0) instances.forEach { end(it, nowMillis) }
             instances.forEach { instance ->
                 if (random.nextInt(100) == 0) instance.restart()
+                if (random.nextInt(200) == 0) end(instance, nowMillis)
+                if (nowMillis < instance.endedUntilMillis) return@forEach detectEnd(instance, nowMillis)
                 val isSilent = (nowMillis / 3_000 + instance.name.hashCode()) % 4 == 0L
                 val isReporting =
                     nowMillis >= leaderStartMillis && !isSilent && random.nextInt(4) == 0
@@ -84,6 +92,18 @@
             }
         }
 
+        private fun end(instance: SimulatedInstance, nowMillis: Long) {
+            instance.restart()
+            instance.endedUntilMillis = nowMillis + random.nextInt(3_000)
+        }
+
+        private fun detectEnd(instance: SimulatedInstance, nowMillis: Long) {
+            val silent = allocator.silentHolders(nowMillis)
+            if (instance.name in silent && random.nextInt(3) == 0) {
+                allocator.recordEnded(instance.name, nowMillis)
+            }
+        }
+
         fun usedShare(nowMillis: Long): Double =
             instances.sumOf { it.usableShares(nowMillis)[ACCOUNT] ?: 0.0 } + lendableShare
 
@@ -123,8 +143,19 @@
     fun `used and lendable shares never exceed the rate`(
         @ForAll @LongRange(min = 0, max = 1_000_000) seed: Long
     ) {
-        val fleet = Fleet(seed)
-        for (nowMillis in 0L..60_000L step STEP_MILLIS) {
+        play(Fleet(seed, size = 5), 60_000)
+    }
+
+    @Property(seed = "20261206", tries = 6)
+    fun `used and lendable shares of large fleets never exceed the rate`(
+        @ForAll @LongRange(min = 0, max = 1_000_000) seed: Long
+    ) {
+        play(Fleet(seed, size = 95), 20_000)
+        play(Fleet(seed, size = 300), 20_000)
+    }
+
+    private fun play(fleet: Fleet, lengthMillis: Long) {
+        for (nowMillis in 0L..lengthMillis step STEP_MILLIS) {
             fleet.step(nowMillis)
             val usedShare = fleet.usedShare(nowMillis)
             assertTrue(
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -10,6 +10,7 @@
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.util.EventLoopGroups
+import com.linecorp.armeria.common.util.TransportType
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.ServiceRequestContext
@@ -32,6 +33,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.instance.http.BackendConnections
+import mustarddale.instance.http.ConnectionProbe
 import mustarddale.instance.http.ResponseCorrelation
 import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.feed.TopicLog
@@ -115,6 +117,8 @@
         host = settings.host,
         port = settings.peerPort
     )
+    private val connectionProbe =
+        ConnectionProbe(eventLoop, TransportType.socketChannelType(eventLoopGroup))
     private val elector = LeaderElector(platform.log, ownRecord, clock, random)
     private val leaderController = LeaderController(
         scope,
@@ -123,11 +127,12 @@
         platform.engineClient,
         settings.instance,
         settings.orderLeaseMillis,
-        clock
+        clock,
+        probe = { connectionProbe.connect(it.host, it.port) }
     )
     private val feeds = platform.feeds(state)
     private val memberAgent =
-        MemberAgent(state, feeds.backends, ownRecord.instance, ownRecord.run, clock)
+        MemberAgent(state, feeds.backends, ownRecord, clock)
     private val loans = LeaderLoans(clock)
     private val leaderConnections = LeaderConnections(
         ownRecord,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
@@ -111,10 +111,11 @@
 
     private suspend fun listen() {
         val address = InetSocketAddress(self.host, self.port)
-        val listener = aSocket(selector).tcp().bind(address) { reuseAddress = true }
-        while (true) {
-            val socket = listener.accept()
-            scope.launch { runSession(socket, "member") { serveMember(socket) } }
+        aSocket(selector).tcp().bind(address) { reuseAddress = true }.use { listener ->
+            while (true) {
+                val socket = listener.accept()
+                scope.launch { runSession(socket, "member") { serveMember(socket) } }
+            }
         }
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -9,10 +9,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
+import mustarddale.instance.http.ProbeResult
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.repeatRounds
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.crash.RequestTrials
+import mustarddale.serving.leadership.InstanceAddress
 import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.leadership.LeadershipTerm
@@ -27,6 +29,7 @@
  *
  * @param instance the name of this instance, under which it sends orders to engines.
  * @param orderLeaseMillis the minimum time between orders of two successive leaders.
+ * @param probe tries to connect to a process of an instance.
  */
 public class LeaderController(
     private val scope: CoroutineScope,
@@ -35,7 +38,8 @@
     private val engineClient: EngineControlClient,
     private val instance: String,
     private val orderLeaseMillis: Long,
-    private val clock: Clock
+    private val clock: Clock,
+    private val probe: suspend (InstanceAddress) -> ProbeResult
 ) {
     /** The work of the newest term that this instance won; the term may be over. */
     private var newestTerm: TermWork? = null
@@ -205,6 +209,8 @@
         val trials = RequestTrials(leadership.sinceMillis)
         private val blockInterval = MinInterval(BLOCK_INTERVAL_MILLIS)
         val shares = ShareController(leadership, state, clock) { onStateChanged() }
+        private val endedProcesses =
+            EndedProcessDetector(scope, clock, probe, shares::recordEnded)
         val placement = PlacementController(
             scope,
             leadership,
@@ -296,6 +302,7 @@
                 blockPrompts(nowMillis)
                 blockRequests(nowMillis)
             }
+            endedProcesses.check(shares.silentHolders(nowMillis))
             shares.tick(nowMillis)
             permits.tick()
             placement.tick(nowMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 import mustarddale.serving.crash.RequestVerdict
+import mustarddale.serving.leadership.InstanceAddress
 import mustarddale.serving.limit.LimitObservation
 import mustarddale.serving.limit.ServerLimit
 import mustarddale.serving.prompt.CrashSuspect
@@ -45,6 +46,7 @@
      * @property serverLimits the limits that servers have set, as this instance knows them.
      * @property limitObservations what it has learned of them since the last report.
      * @property leavingServers the runs of the servers that leave, as this instance knows them.
+     * @property address where this process listens, null if the leader knows it.
      */
     @Serializable
     @SerialName("report")
@@ -71,7 +73,8 @@
         public val streams: List<VersionedStreams> = emptyList(),
         public val serverLimits: List<ServerLimit> = emptyList(),
         public val limitObservations: List<LimitObservation> = emptyList(),
-        public val leavingServers: Set<String> = emptySet()
+        public val leavingServers: Set<String> = emptySet(),
+        public val address: InstanceAddress? = null
     ) : LeaderMessage
 
     /**
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -8,22 +8,23 @@
 import mustarddale.instance.serving.feed.KeyedFeed
 import mustarddale.instance.serving.feed.RelayedRecords
 import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.leadership.InstanceAddress
+import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.limit.RotationPlace
 import mustarddale.serving.quota.EffectiveShares
 import mustarddale.serving.version.VersionedStreams
 import mustarddale.time.Clock
 
 /**
- * Reports for [instance] to the leader, and applies the leader's messages to [state].
+ * Reports for this instance to the leader, and applies the leader's messages to [state].
  *
  * @param backends the feed of the backend server list, which takes records from the leader.
- * @param run the id of this process, which a restart replaces.
+ * @param self the id and address of this process.
  */
 public class MemberAgent(
     private val state: ServingState,
     private val backends: KeyedFeed,
-    private val instance: String,
-    private val run: String,
+    private val self: LeaderRecord,
     private val clock: Clock
 ) {
     /** The term of the leader whose state was applied last. */
@@ -41,6 +42,10 @@
     private val sentMillis = LinkedHashMap<Long, Long>()
     private var lastReportNumber = 0L
 
+    /** The first report that goes to the current leader, with what only new leaders need. */
+    private var firstReportNumber = 1L
+    private var isKnownToLeader = false
+
     /** Builds the next report and resets the demand that is counted for it. */
     public fun nextReport(): LeaderMessage.Report {
         lastReportNumber++
@@ -48,8 +53,8 @@
         while (sentMillis.size > MAX_PENDING_REPORTS) sentMillis.remove(sentMillis.keys.first())
         val answers = state.promptObservations.takeAnswers()
         return LeaderMessage.Report(
-            instance = instance,
-            run = run,
+            instance = self.instance,
+            run = self.run,
             number = lastReportNumber,
             term = term,
             confirmedRevision = sharesRevision,
@@ -83,13 +88,16 @@
             streams = state.streamVersions.takeUnreported(),
             serverLimits = state.limits.known(),
             limitObservations = state.limits.takeObservations(),
-            leavingServers = state.notices.leavingRuns
+            leavingServers = state.notices.leavingRuns,
+            address = InstanceAddress(self.host, self.port).takeUnless { isKnownToLeader }
         )
     }
 
     /** Handles a new connection to the leader, which may lack reports sent over an earlier one. */
     public fun handleConnected() {
         state.streamVersions.forgetReports()
+        firstReportNumber = lastReportNumber + 1
+        isKnownToLeader = false
     }
 
     /** Returns the streams whose versions the leader may not know, once. */
@@ -106,9 +114,11 @@
             state.limits.forgetLeader()
             term = message.term
             sharesRevision = 0
+            firstReportNumber = lastReportNumber + 1
             state.promptObservations.forgetReports()
             state.streamVersions.forgetReports()
         }
+        isKnownToLeader = message.answers >= firstReportNumber
         leaderSentMillis = message.sentMillis
         effectiveShares.onLeaderMessage(nowMillis)
         state.residency.recordLeaderContact(nowMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/ShareController.kt
@@ -7,6 +7,7 @@
 
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.leadership.InstanceAddress
 import mustarddale.serving.leadership.LeadershipTerm
 import mustarddale.serving.quota.AccountQuota
 import mustarddale.serving.quota.ShareAllocator
@@ -76,7 +77,8 @@
                 if (isOfThisTerm) report.confirmedRevision else 0,
                 report.shares,
                 report.wantedTokens,
-                report.heardMillis.takeIf { isOfThisTerm }
+                report.heardMillis.takeIf { isOfThisTerm },
+                report.address
             ),
             nowMillis
         )
@@ -96,6 +98,17 @@
         return LeaderMessage.LoanAnswer(request.number, waitMillis)
     }
 
+    /** Returns where the processes listen that may hold shares and have not reported lately. */
+    fun silentHolders(nowMillis: Long): Map<String, InstanceAddress> =
+        allocator.silentHolders(nowMillis)
+
+    /** Records that the process of [instance] had ended at [atMillis]. */
+    fun recordEnded(instance: String, atMillis: Long) {
+        allocator.recordEnded(instance, atMillis)
+        DecisionLog.record("process_ended", "instance" to instance, "term" to leadership.term)
+        hasNewHolder = true
+    }
+
     /** Handles the loss of leadership, of which other instances have been or will be notified. */
     fun handleLeadershipLost() {
         allocator.onLeadershipEnded(clock.monotonicMillis())
