Count a lost leader's lease from when its newest record became known

Cause: instances that follow a leader don't read its log. The first look at it, a second after the loss, found newer records than known, and began the lease of the newest one at that time. The leader's messages now say where the log ends. If it still ends there, the lease counts from the first message that said so: the record was sent before it.

The simulation of the election has such messages, lost and late ones too. The new case expects 7,100 ms where it was 8,200.

--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
@@ -5,7 +5,9 @@
  * others from when they read the record, so leases never overlap; a delayed append fails its
  * condition. When the log returns from an older copy, which begins an era, no leadership outlasts
  * it, and the next one begins a lease later. An append without an answer may still be in the log,
- * so what its success would need is kept until a read shows its outcome.
+ * so what its success would need is kept until a read shows its outcome. A leader tells its
+ * followers, which do not read the log, how far it reaches: if it still ends there when the leader is
+ * lost, its lease counts from that message.
  */
 package mustarddale.serving.leadership
 
@@ -62,6 +64,8 @@
     private var logChangedAtMillis = 0L
     private var readAtMillis = 0L
     private var leaderMessageAtMillis = Long.MIN_VALUE
+    private var announcedEnd: Long? = null
+    private var announcedAtMillis = 0L
     private var leaseEndMillis = Long.MIN_VALUE
     private var renewAtMillis = 0L
     private var ownTerm: Long? = null
@@ -99,6 +103,7 @@
         newest = null
         pendingAppends.clear()
         endOffset = null
+        announcedEnd = null
         stepDown()
     }
 
@@ -113,7 +118,9 @@
     ): RecordedLeadership? {
         mustRead = false
         readAtMillis = nowMillis
-        if (end != endOffset) logChangedAtMillis = nowMillis
+        if (end != endOffset) {
+            logChangedAtMillis = if (end == announcedEnd) announcedAtMillis else nowMillis
+        }
         endOffset = end
         // An append that was sent in an earlier era may reach the log after newer records.
         val latest = records.maxWithOrNull(compareBy({ it.record.era }, { it.offset }))
@@ -186,9 +193,17 @@
         mustRead = true
     }
 
-    /** Records a message received directly from the leader of the newest known term. */
-    public fun onLeaderMessage(nowMillis: Long) {
+    /**
+     * Records a message received directly from the leader of the newest known term, whose newest
+     * known record is the last one before the offset [logEnd]; null if it does not say so.
+     */
+    public fun onLeaderMessage(logEnd: Long?, nowMillis: Long) {
         leaderMessageAtMillis = nowMillis
+        // Offsets of an earlier era have been given out again.
+        if (newest?.term?.let { LeaderRecord.eraOf(it) } != era) return
+        if (logEnd == null || logEnd <= (announcedEnd ?: -1)) return
+        announcedEnd = logEnd
+        announcedAtMillis = nowMillis
     }
 
     /** Records that the leader does not respond, so that the log has to be read. */
--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderRecord.kt
@@ -41,6 +41,9 @@
 
         private const val OFFSET_BITS = 40
 
+        /** Returns the era in which [term] began. */
+        public fun eraOf(term: Long): Long = term shr OFFSET_BITS
+
         /** Returns the term whose first record is at [offset] of [era]; terms rise with both. */
         public fun termOf(era: Long, offset: Long): Long = (era shl OFFSET_BITS) + offset
     }
--- a/core/src/test/kotlin/mustarddale/serving/leadership/LeaderElectionTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/leadership/LeaderElectionTest.kt
@@ -62,6 +62,16 @@
         fun leadsWithWork(nowMillis: Long): Boolean =
             workTerm != null && workTerm == election.ownTerm(nowMillis)
 
+        /** Returns the delivery of a message of [leader] at [arrivalMillis] to this node. */
+        fun messageFrom(leader: Node, arrivalMillis: Long): Pair<Long, () -> Unit> {
+            val term = leader.election.newest?.term
+            val logEnd = leader.election.newest?.let { it.offset + 1 }
+            return arrivalMillis to {
+                val isFollowing = term == election.newest?.term
+                if (isFollowing) election.onLeaderMessage(logEnd, arrivalMillis)
+            }
+        }
+
         /** Gives an order if allowed; returns whether it did. */
         fun tryOrder(nowMillis: Long): Boolean {
             val mayOrder = nowMillis >= mayOrderAtMillis && election.mayOrder(nowMillis)
@@ -175,6 +185,12 @@
                 if (nowMillis < node.resumesAtMillis) return@forEach
                 node.step(log, nowMillis, random)?.let { delayed.add(nowMillis + 3_000 to it) }
             }
+            nodes.filter { it.election.ownTerm(nowMillis) != null }.forEach { leader ->
+                nodes.filter { it != leader && random.nextInt(5) == 0 }.forEach { follower ->
+                    val message = follower.messageFrom(leader, nowMillis + random.nextInt(300))
+                    delayed.add(message)
+                }
+            }
             val leaders = nodes.filter { it.election.ownTerm(nowMillis) != null }
             assertTrue(leaders.size <= 1, "leaders at $nowMillis ms: ${leaders.map { it.name }}")
             nodes.filter { nowMillis >= it.resumesAtMillis && it.tryOrder(nowMillis) }.forEach {
@@ -242,6 +258,30 @@
         assertEquals(ElectionStep.Append(2, -1), election.next(4_200))
     }
 
+    /** Guards against a lost leader whose lease begins anew when a follower looks at the log. */
+    @Test
+    fun `the lease of a lost leader counts from when its newest record became known`() {
+        class Case(val name: String, val announcedEnd: Long?, val end: Long, val expected: Long)
+
+        val cases = listOf(
+            Case("the leader has told the end of the log", 3, end = 3, expected = 7_100),
+            Case("it has renewed its lease since", 3, end = 4, expected = 8_200),
+            Case("it has told nothing", null, end = 3, expected = 8_200)
+        )
+        cases.forEach { case ->
+            val election = LeaderElection("a", "a-1", timings)
+            val leader = LeaderRecord("b", "b-1", "h", 1)
+            election.observe(listOf(LeaderLogEntry(0, leader)), 1, 0)
+            election.onLeaderMessage(logEnd = 2, nowMillis = 4_500)
+            election.onLeaderMessage(case.announcedEnd, nowMillis = 5_000)
+            election.suspectLeader()
+            assertEquals(ElectionStep.Read(1), election.next(6_100), case.name)
+            val records = (1L..<case.end).map { LeaderLogEntry(it, leader.copy(term = 0)) }
+            election.observe(records, case.end, 6_100)
+            assertEquals(ElectionStep.Wait(case.expected), election.next(6_100), case.name)
+        }
+    }
+
     @Test
     fun `a leader gives orders only within the order window after its record`() {
         val election = LeaderElection("a", "a-1", timings)
--- a/core/src/test/kotlin/mustarddale/serving/quota/ShareSimulationTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/quota/ShareSimulationTest.kt
@@ -1,8 +1,8 @@
 package mustarddale.serving.quota
 
 import java.util.Random
-import mustarddale.serving.leadership.InstanceAddress
 import kotlin.test.assertTrue
+import mustarddale.serving.leadership.InstanceAddress
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.constraints.LongRange
@@ -79,7 +79,11 @@
             instances.forEach { instance ->
                 if (random.nextInt(100) == 0) instance.restart()
                 if (random.nextInt(200) == 0) end(instance, nowMillis)
-                if (nowMillis < instance.endedUntilMillis) return@forEach detectEnd(instance, nowMillis)
+                if (nowMillis <
+                    instance.endedUntilMillis
+                ) {
+                    return@forEach detectEnd(instance, nowMillis)
+                }
                 val isSilent = (nowMillis / 3_000 + instance.name.hashCode()) % 4 == 0L
                 val isReporting =
                     nowMillis >= leaderStartMillis && !isSilent && random.nextInt(4) == 0
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderConnections.kt
@@ -192,7 +192,7 @@
             when (val message = withTimeout(SILENCE_MILLIS) { codec.read(input) }) {
                 is LeaderMessage.State -> {
                     term = message.term
-                    elector.recordLeaderContact(message.term)
+                    elector.recordLeaderContact(message.term, message.logEnd)
                     member.apply(message)
                 }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -122,7 +122,8 @@
             mixedServices = state.streamVersions.history.mixedServices(nowMillis),
             serverLimits = current.permits.limits,
             rank = current.shares.rankOf(member),
-            leavingServers = state.notices.leavingRuns
+            leavingServers = state.notices.leavingRuns,
+            logEnd = elector.logEnd
         )
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
@@ -75,9 +75,13 @@
     /** Returns the newest known leader, null if there is none or it has resigned. */
     public fun leader(): LeaderLogEntry? = election.newest?.takeIf { !it.record.isResigning }
 
-    /** Records that a message came from the leader of [term], which is therefore alive. */
-    public fun recordLeaderContact(term: Long) {
-        if (term == election.newest?.term) election.onLeaderMessage(clock.monotonicMillis())
+    /** The offset after the newest known record, null if there is none. */
+    public val logEnd: Long? get() = election.newest?.let { it.offset + 1 }
+
+    /** Records a message of the leader of [term], for which the log ends at [leaderLogEnd]. */
+    public fun recordLeaderContact(term: Long, leaderLogEnd: Long?) {
+        if (term != election.newest?.term) return
+        election.onLeaderMessage(leaderLogEnd, clock.monotonicMillis())
     }
 
     /** Reads the log again, because the leader does not respond or says that it no longer leads. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -95,6 +95,7 @@
      * @property serverLimits all limits that servers have set.
      * @property leavingServers the runs of all servers that leave.
      * @property rank the place of the instance among [instances] if there is no leader to ask.
+     * @property logEnd the offset after the newest record of the leadership log.
      */
     @Serializable
     @SerialName("state")
@@ -115,7 +116,8 @@
         public val mixedServices: List<ServiceVersions> = emptyList(),
         public val serverLimits: List<ServerLimit> = emptyList(),
         public val rank: Int = 0,
-        public val leavingServers: Set<String> = emptySet()
+        public val leavingServers: Set<String> = emptySet(),
+        public val logEnd: Long? = null
     ) : LeaderMessage
 
     /** New streams of an instance whose versions matter, sent between its reports. */
