Log when an instance is cut off from a service

A platform may now say where a server is reached, so that tests can cut single paths. No decision changes.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -51,6 +51,7 @@
 import mustarddale.instance.serving.protocol.ServingProtocol
 import mustarddale.instance.serving.settings.ServingSettings
 import mustarddale.instance.serving.state.ServingState
+import mustarddale.serving.backend.BackendAddress
 import mustarddale.serving.backend.BackendSelector
 import mustarddale.serving.buffer.BufferBudget
 import mustarddale.serving.leadership.LeaderRecord
@@ -69,6 +70,9 @@
     /** Sends orders to engines and fetches their reports. */
     public val engineClient: EngineControlClient
 
+    /** Returns where this machine reaches the server at [address], which a gateway may change. */
+    public fun routeTo(address: BackendAddress): BackendAddress = address
+
     /** Returns the feeds that update the configuration and the backend servers in [state]. */
     public fun feeds(state: ServingState): Feeds
 }
@@ -147,7 +151,7 @@
     private val forwarder = Forwarder(
         state,
         BackendSelector(random),
-        BackendClient(clientFactory, platform.protocol),
+        BackendClient(clientFactory, platform.protocol, platform::routeTo),
         platform.protocol,
         settings.failureDomain,
         loans,
@@ -219,6 +223,9 @@
         metrics.gauge("mustarddale.server.limits", state) { it.limits.size.toDouble() }
         metrics.gauge("mustarddale.prompt.blocks", state) { it.promptBlocks.size.toDouble() }
         metrics.gauge("mustarddale.stream.records", state) { it.streamVersions.size.toDouble() }
+        metrics.gauge("mustarddale.services.cut.off", state) {
+            it.paths.cutOffServices.size.toDouble()
+        }
         metrics.gauge("mustarddale.buffers.held.bytes", buffers) { it.heldBytes.toDouble() }
         metrics.gauge("mustarddale.buffers.refused", buffers) { it.refusedCount.toDouble() }
         metrics.gauge("mustarddale.request.blocks", state) {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
@@ -59,7 +59,8 @@
 /** Sends requests to backend servers over the connections of [factory]. */
 public class BackendClient(
     private val factory: ClientFactory,
-    private val protocol: ServingProtocol
+    private val protocol: ServingProtocol,
+    private val routeTo: (BackendAddress) -> BackendAddress = { it }
 ) {
     private val clientsByAddress = HashMap<BackendAddress, WebClient>()
 
@@ -125,7 +126,7 @@
     }
 
     private fun clientOf(address: BackendAddress): WebClient = clientsByAddress.getOrPut(address) {
-        WebClient.builder(SessionProtocol.H1C, endpointOf(address))
+        WebClient.builder(SessionProtocol.H1C, endpointOf(routeTo(address)))
             .factory(factory)
             .responseTimeoutMillis(0)
             .writeTimeoutMillis(WRITE_TIMEOUT_MILLIS)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -180,6 +180,7 @@
     ): AttemptResult {
         val nowMillis = clock.monotonicMillis()
         load.recordReached(isSent = result !is SendResult.NotSent, nowMillis)
+        recordPath(backend, result)
         return when (result) {
             is SendResult.NotSent -> {
                 mayBeRunning = false
@@ -219,6 +220,15 @@
         }
     }
 
+    private fun recordPath(backend: Backend, result: SendResult) {
+        when (result) {
+            is SendResult.NotSent -> state.paths.recordUnreached(backend)
+            is SendResult.OutcomeUnknown ->
+                if (result.hasLostConnection) state.paths.recordUnreached(backend)
+            is SendResult.NotRun, is SendResult.Responded -> state.paths.recordReached(backend)
+        }
+    }
+
     private fun recordNotices(
         backend: Backend,
         load: BackendLoad,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -35,6 +35,9 @@
     /** What backend servers say of themselves in responses. */
     public val notices: ServerNotices = ServerNotices(directory, clock, ::onServersLeaving)
 
+    /** The paths from this instance to backend servers. */
+    public val paths: PathMonitor = PathMonitor(clock)
+
     /** Delays requests that arrive while the process starts. */
     public val startupGate: StartupGate = StartupGate(clock)
 
@@ -129,6 +132,7 @@
             is BackendChange.Removed -> {
                 loadsByBackend.remove(change.backend.id)
                 limits.forget(change.backend)
+                paths.forget(change.backend)
                 notices.forget(change.backend)
                 residency.removeEngine(change.backend.id)
                 logBackendChange("backend_gone", change.backend)
