Forward requests through another instance while the own paths to servers are lost

Cause: an instance had one path to a server, its own, and judged each server alone. Two servers that can't be reached while none of the service responds now show that the instance is cut off. It asks the leader for a few instances that are not, and sends requests through one of them; what none can take is tried directly as before. The sender keeps the caller, the admission and the account; the other one uses its permits, limits, verdicts and loads, passes nothing further, and refuses what it can't take as not run. A request that it may have run is never said not to have run. It takes requests only with the id of its process, which only instances know. Probes find the path again. A leader that reaches no engine hands over, and an instance that is cut off lets others stand first. Nothing is sent for this while no path is lost, but the address once a term.

Alternatives: a mesh of instances (grows with the square), requests over the leader's connections (all bodies through one event loop), refusals that send the caller elsewhere (each is a failed first try).

--- a/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
+++ b/core/src/main/kotlin/mustarddale/error/ErrorKind.kt
@@ -43,6 +43,7 @@
     IDEMPOTENCY_KEY_EXPIRED("idempotency_key_expired", 409, INVALID, Executed.UNKNOWN),
     BODY_TOO_LARGE("body_too_large", 413, INVALID, Executed.NO),
     IDEMPOTENCY_BODY_DIFFERS("idempotency_body_differs", 422, INVALID, Executed.UNKNOWN),
+    WRONG_INSTANCE("wrong_instance", 421, SERVER, Executed.NO),
     RATE_EXCEEDED("rate_exceeded", 429, "rate_limit_error", Executed.NO),
     INTERNAL("internal", 500, SERVER, Executed.UNKNOWN),
     BACKEND_FAILED("backend_failed", 502, SERVER, Executed.UNKNOWN),
--- a/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
+++ b/core/src/main/kotlin/mustarddale/serving/backend/BackendLoad.kt
@@ -62,6 +62,12 @@
         }
     }
 
+    /** Records that a connection to the server was established, so earlier losses say nothing. */
+    public fun endSuspicion() {
+        successiveLosses = 0
+        suspectedUntilMillis = 0
+    }
+
     /** Records whether a request [isSent], that is, written on a connection to the server. */
     public fun recordReached(isSent: Boolean, nowMillis: Long) {
         if (isSent) hasBeenReached = true else unreachableUntilMillis = nowMillis + RETRY_MILLIS
--- a/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
+++ b/core/src/main/kotlin/mustarddale/serving/leadership/LeaderElection.kt
@@ -6,8 +6,8 @@
  * condition. When the log returns from an older copy, which begins an era, no leadership outlasts
  * it, and the next one begins a lease later. An append without an answer may still be in the log,
  * so what its success would need is kept until a read shows its outcome. A leader tells its
- * followers, which do not read the log, how far it reaches: if it still ends there when the leader is
- * lost, its lease counts from that message.
+ * followers, which do not read the log, where it ends: if it still ends there when the leader is
+ * lost, the lease counts from that message.
  */
 package mustarddale.serving.leadership
 
--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
@@ -2,9 +2,10 @@
  * Divides the rates of client accounts among instances by demand: each instance is granted a share
  * of each rate, from 0 to 1. A share counts as held from the moment before it is granted until the
  * instance has confirmed a smaller one, its process has been replaced, or its lease has expired;
- * only what no instance can hold is granted. A process that is known to have ended holds nothing. The shares in use therefore never add up to more than
- * the total, even if messages are lost. The leader lends the rest of each rate, less what
- * unreachable instances may use instead (see EffectiveShares).
+ * only what no instance can hold is granted. A process that is known to have ended holds nothing.
+ * The shares in use therefore never add up to more than the total, even if messages are lost. The
+ * leader lends the rest of each rate, less what unreachable instances may use instead (see
+ * EffectiveShares).
  */
 package mustarddale.serving.quota
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -6,6 +6,7 @@
 package mustarddale.instance.serving
 
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
@@ -41,6 +42,7 @@
 import mustarddale.instance.serving.forward.BackendClient
 import mustarddale.instance.serving.forward.CallerService
 import mustarddale.instance.serving.forward.Forwarder
+import mustarddale.instance.serving.forward.RequestJobs
 import mustarddale.instance.serving.forward.RequestTarget
 import mustarddale.instance.serving.leader.EngineControlClient
 import mustarddale.instance.serving.leader.LeaderConnections
@@ -49,12 +51,15 @@
 import mustarddale.instance.serving.leader.LeaderLoans
 import mustarddale.instance.serving.leader.MemberAgent
 import mustarddale.instance.serving.protocol.ServingProtocol
+import mustarddale.instance.serving.relay.PathProber
+import mustarddale.instance.serving.relay.RelayService
 import mustarddale.instance.serving.settings.ServingSettings
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.backend.BackendAddress
 import mustarddale.serving.backend.BackendSelector
 import mustarddale.serving.buffer.BufferBudget
 import mustarddale.serving.leadership.LeaderRecord
+import mustarddale.serving.path.RelayPeer
 import mustarddale.serving.shutdown.ShutdownSchedule
 import mustarddale.time.Clock
 import mustarddale.time.SystemClock
@@ -135,8 +140,19 @@
         probe = { connectionProbe.connect(it.host, it.port) }
     )
     private val feeds = platform.feeds(state)
-    private val memberAgent =
-        MemberAgent(state, feeds.backends, ownRecord, clock)
+    private val memberAgent = MemberAgent(
+        state,
+        feeds.backends,
+        ownRecord,
+        RelayPeer(
+            ownRecord.instance,
+            ownRecord.run,
+            settings.host,
+            settings.relayPort,
+            settings.failureDomain
+        ),
+        clock
+    )
     private val loans = LeaderLoans(clock)
     private val leaderConnections = LeaderConnections(
         ownRecord,
@@ -158,10 +174,12 @@
         buffers,
         clock
     )
+    private val admission = Admission(state)
+    private val jobs = RequestJobs(scope)
     private val callerService = CallerService(
-        scope,
+        jobs,
         platform.protocol,
-        Admission(state),
+        admission,
         forwarder,
         loans,
         state.startupGate,
@@ -170,6 +188,18 @@
         ::closeConnectionOnShutdown,
         ::mayAdmit
     )
+    private val relayService = RelayService(
+        ownRecord.run,
+        platform.protocol,
+        admission,
+        forwarder,
+        jobs,
+        buffers,
+        clock,
+        mayAdmit = { shutdown == null }
+    )
+    private val pathProber = PathProber(scope, state, connectionProbe, platform::routeTo)
+    private var isYielding = false
     private var shutdown: ShutdownSchedule? = null
     private val server: Server = Server.builder()
         .workerGroup(eventLoopGroup, false)
@@ -188,11 +218,7 @@
             HttpService { ctx, req ->
                 when (ctx.localAddress().port) {
                     settings.readyPort -> readinessResponse()
-                    settings.metricsPort -> HttpResponse.of(
-                        HttpStatus.OK,
-                        MediaType.PLAIN_TEXT_UTF_8,
-                        metrics.scrape()
-                    )
+                    settings.metricsPort -> serveInternal(ctx, req)
 
                     else -> callerService.serve(ctx, req)
                 }
@@ -201,7 +227,7 @@
         .build()
 
     /** Number of callers' requests whose responses have not ended. */
-    public val openRequests: Int get() = callerService.openRequests
+    public val openRequests: Int get() = jobs.openCount
 
     /** Number of streams whose software versions this instance knows. */
     public val streamRecords: Int get() = state.streamVersions.size
@@ -210,6 +236,11 @@
     public fun start() {
         state.onUrgentDemand = leaderConnections::reportNow
         state.streamVersions.onRecord = leaderConnections::reportStreams
+        state.paths.onShortage = {
+            leaderConnections.reportNow()
+            pathProber.probe()
+        }
+        elector.isEligible = { !isCutOff() }
         elector.onLeaderKnown = {
             state.suspectedRequests.updateFromRecord(it.requestVerdicts)
             state.streamVersions.history.merge(it.mixedServices, clock.monotonicMillis())
@@ -217,7 +248,7 @@
         leaderController.onStateChanged = leaderConnections::notifyMembers
         feeds.backends.onRead = leaderConnections::notifyMembers
         Metrics.addRegistry(metrics)
-        metrics.gauge("mustarddale.requests.open", callerService) { it.openRequests.toDouble() }
+        metrics.gauge("mustarddale.requests.open", jobs) { it.openCount.toDouble() }
         metrics.gauge("mustarddale.backends", state) { it.directory.backends.size.toDouble() }
         metrics.gauge("mustarddale.instances", state) { (it.instanceCount ?: 0).toDouble() }
         metrics.gauge("mustarddale.server.limits", state) { it.limits.size.toDouble() }
@@ -236,6 +267,9 @@
         scope.launch { feeds.backends.run() }
         scope.launch { elector.run() }
         scope.launch { runPeriodicTasks() }
+        scope.launch {
+            repeatRounds("paths", PathProber.INTERVAL_MILLIS) { pathProber.probe() }
+        }
         leaderConnections.start()
         watchdog.start()
         DecisionLog.record(
@@ -262,10 +296,33 @@
             state.suspectedRequests.removeExpired()
             state.streamVersions.recordListed(state.directory.backends)
             memberAgent.tick()
+            yieldIfCutOff()
             watchdog.tick()
         }
     }
 
+    /** Whether this instance reaches no server of the engines that a leader manages. */
+    private fun isCutOff(): Boolean {
+        val services = state.configuration?.services.orEmpty().filterValues { it.engine != null }
+        return services.isNotEmpty() && services.keys.all { state.paths.isCutOff(it) }
+    }
+
+    /** A leader without a path to engines can give no orders, and others can. */
+    private fun yieldIfCutOff() {
+        if (isYielding || !isCutOff() || !leaderController.hasBetterConnectedMember()) return
+        isYielding = true
+        scope.launch {
+            elector.yieldLeadership("no engine is reached")
+            isYielding = false
+        }
+    }
+
+    /** Serves other instances and the platform, but no callers. */
+    private fun serveInternal(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
+        if (relayService.handles(req.headers())) return relayService.serve(ctx, req)
+        return HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.scrape())
+    }
+
     private fun readinessResponse(): HttpResponse {
         val isReady = state.configuration != null && shutdown == null &&
             state.directory.backends.isNotEmpty()
@@ -286,25 +343,25 @@
     public fun shutDownGracefully(): Unit = runBlocking(dispatcher) {
         val schedule = ShutdownSchedule(clock.monotonicMillis(), settings.termGraceMillis)
         shutdown = schedule
-        DecisionLog.record("leaving", "open" to callerService.openRequests)
+        DecisionLog.record("leaving", "open" to jobs.openCount)
         elector.resign()
         delay(schedule.admissionEndMillis - schedule.startMillis)
         state.modelWaiters.close()
         var idleSinceMillis = clock.monotonicMillis()
         while (clock.monotonicMillis() < schedule.finalResponsesAtMillis) {
-            if (callerService.openRequests > 0) idleSinceMillis = clock.monotonicMillis()
+            if (jobs.openCount > 0) idleSinceMillis = clock.monotonicMillis()
             if (clock.monotonicMillis() - idleSinceMillis >= IDLE_BEFORE_EXIT_MILLIS) break
             delay(SHUTDOWN_CHECK_INTERVAL_MILLIS)
         }
-        val unfinished = callerService.openRequests
+        val unfinished = jobs.openCount
         forwarder.endOpenRequests()
         withTimeoutOrNull(FINAL_RESPONSE_MILLIS) {
-            while (callerService.openRequests > 0) delay(FINAL_RESPONSE_CHECK_MILLIS)
+            while (jobs.openCount > 0) delay(FINAL_RESPONSE_CHECK_MILLIS)
         }
         DecisionLog.record(
             "stopped",
             "unfinished" to unfinished,
-            "open" to callerService.openRequests
+            "open" to jobs.openCount
         )
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/Admission.kt
@@ -10,6 +10,8 @@
 import mustarddale.error.Outcome
 import mustarddale.error.failure
 import mustarddale.instance.serving.protocol.RequestHead
+import mustarddale.instance.serving.relay.RelayEnvelope
+import mustarddale.instance.serving.relay.RelayService
 import mustarddale.instance.serving.state.ServingState
 import mustarddale.serving.config.AccountConfig
 import mustarddale.serving.config.RouteConfig
@@ -61,6 +63,49 @@
         )
     }
 
+    /**
+     * Admits a request that another instance has admitted as [envelope] says. It is refused if this
+     * instance can't forward it, or knows only an older configuration.
+     */
+    internal fun admitRelayed(
+        head: RequestHead,
+        headers: RequestHeaders,
+        body: RequestBody,
+        arrivedAtMillis: Long,
+        envelope: RelayEnvelope
+    ): Outcome<AdmittedRequest> {
+        val configuration = state.configuration
+        if (configuration == null || configuration.version < envelope.configurationVersion) {
+            return RelayService.elsewhere("the configuration is older")
+        }
+        val route = state.routes.find(head.host, head.path)
+        val account = envelope.account?.let { configuration.accounts[it] }
+        if (route == null || (account == null && envelope.account != null)) {
+            return RelayService.elsewhere("a newer configuration has no such route or account")
+        }
+        val admitted =
+            admittedRequest(
+                head,
+                headers,
+                body,
+                route,
+                account,
+                0.0,
+                arrivedAtMillis,
+                configuration
+            )
+        if (state.paths.isCutOff(admitted.service)) {
+            return RelayService.elsewhere("${admitted.service} is cut off here too")
+        }
+        return Outcome.Success(
+            admitted.copy(
+                maxAttempts = envelope.maxAttempts,
+                isRelayed = true,
+                serverVersion = envelope.serverVersion
+            )
+        )
+    }
+
     /** Returns why a request of [account] is not admitted on [route], null if it is. */
     private fun accountFailure(
         head: RequestHead,
@@ -127,7 +172,8 @@
             deadlineAtMillis = minOf(
                 routeDeadlineAtMillis,
                 callerDeadlineAtMillis ?: routeDeadlineAtMillis
-            )
+            ),
+            configurationVersion = configuration.version
         )
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/AdmittedRequest.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/AdmittedRequest.kt
@@ -14,6 +14,10 @@
  * @property arrivedAtMillis its arrival by the monotonic clock.
  * @property deadlineAtMillis the earlier of the caller's deadline and the route's timeout, by the
  *   monotonic clock.
+ * @property configurationVersion the version of the configuration.
+ * @property maxAttempts on how many servers the request may run.
+ * @property isRelayed whether another instance has admitted it and sends it through this one.
+ * @property serverVersion the software version that began the stream, null if it is not known.
  */
 public data class AdmittedRequest(
     public val head: RequestHead,
@@ -24,7 +28,11 @@
     public val account: AccountConfig?,
     public val tokens: Double,
     public val arrivedAtMillis: Long,
-    public val deadlineAtMillis: Long
+    public val deadlineAtMillis: Long,
+    public val configurationVersion: Long,
+    public val maxAttempts: Int = route.maxAttempts,
+    public val isRelayed: Boolean = false,
+    public val serverVersion: String? = null
 ) {
     /** The time by which the caller gives up if no response has begun. */
     public val firstByteDeadlineAtMillis: Long
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
@@ -27,6 +27,14 @@
 
 /** The result of sending a request, up to the response head. */
 public sealed interface SendResult {
+    /** Whether the server was reached, null if that is not known. */
+    public val hasReachedServer: Boolean?
+        get() = when (this) {
+            is Responded, is NotRun -> true
+            is NotSent -> false
+            is OutcomeUnknown -> if (hasLostConnection) false else null
+        }
+
     /** The server responded; [body] may still be arriving. */
     public data class Responded(
         public val headers: ResponseHeaders,
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/CallerService.kt
@@ -4,20 +4,14 @@
  */
 package mustarddale.instance.serving.forward
 
-import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpResponseWriter
-import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
-import java.io.IOException
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.error.ErrorKind
 import mustarddale.error.Outcome
@@ -31,13 +25,13 @@
 import mustarddale.time.Clock
 
 /**
- * Serves callers; runs in [scope], whose dispatcher is the event loop.
+ * Serves callers.
  *
  * @param onRequest called with each request when it arrives.
  * @param mayAdmit returns whether new requests are admitted, false late in a shutdown.
  */
 public class CallerService(
-    private val scope: CoroutineScope,
+    private val jobs: RequestJobs,
     private val protocol: ServingProtocol,
     private val admission: Admission,
     private val forwarder: Forwarder,
@@ -48,23 +42,10 @@
     private val onRequest: (ServiceRequestContext) -> Unit,
     private val mayAdmit: () -> Boolean
 ) : HttpService {
-    /** Number of requests whose responses have not ended. */
-    @Volatile
-    public var openRequests: Int = 0
-        private set
-
     override fun serve(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
         val arrivedAtMillis = clock.monotonicMillis()
-        val response = HttpResponse.streaming()
-        openRequests++
         onRequest(ctx)
-        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
-            handle(req, response, arrivedAtMillis)
-        }
-        response.whenComplete().whenComplete { _, _ -> job.cancel() }
-        ctx.log().partial().channel()?.let { cancelOnClose(it, job) }
-        job.invokeOnCompletion { openRequests-- }
-        return response
+        return jobs.launch(ctx) { handle(req, it, arrivedAtMillis) }
     }
 
     @Suppress("TooGenericExceptionCaught")
@@ -74,7 +55,8 @@
         arrivedAtMillis: Long
     ) {
         val head = protocol.readRequest(req.headers())
-        val writer = StreamingResponse(response, head?.requestId)
+        val writer =
+            StreamingResponse(response) { protocol.refusalHeaders(it, head?.requestId) }
         val reader = RequestBodyReader(req, buffers)
         try {
             val body = reader.read().await()
@@ -217,47 +199,4 @@
         /** The longest time for the rest of a refused body before its connection is closed. */
         const val MAX_DRAIN_MILLIS = 10_000L
     }
-
-    private inner class StreamingResponse(
-        private val response: HttpResponseWriter,
-        private val requestId: String?
-    ) : ResponseWriter {
-        override var hasStarted = false
-            private set
-
-        var hasEnded = false
-            private set
-
-        override fun writeHead(headers: ResponseHeaders) {
-            hasStarted = true
-            response.tryWrite(headers)
-        }
-
-        override suspend fun writeBody(data: HttpData) {
-            if (response.tryWrite(data)) response.whenConsumed().await()
-        }
-
-        override fun complete() {
-            hasEnded = true
-            response.close()
-        }
-
-        override fun abort(reason: String) {
-            hasEnded = true
-            response.close(IOException(reason))
-        }
-
-        override fun refuse(refusal: Refusal) {
-            writeRefusal(refusal)
-            complete()
-        }
-
-        /** Writes the whole of [refusal]; the connection is not used again before [complete]. */
-        fun writeRefusal(refusal: Refusal) {
-            val text = HttpData.ofUtf8(refusal.message)
-            val headers = protocol.refusalHeaders(refusal, requestId).toBuilder()
-            writeHead(headers.contentLength(text.length().toLong()).build())
-            response.tryWrite(text)
-        }
-    }
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -8,7 +8,6 @@
 import mustarddale.error.ErrorKind
 import mustarddale.error.Refusal
 import mustarddale.instance.serving.protocol.BackendAttempt
-import mustarddale.instance.serving.protocol.ResponseHead
 import mustarddale.instance.serving.state.ServiceModel
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendLoad
@@ -39,32 +38,44 @@
     private val relay = ResponseRelay(request, writer, protocol, forwarder.buffers, ::recordAnswer)
     private val requestLog = RequestLog(request, state.configuration?.version, clock)
     private val versionGate = VersionGate(request, state, loans, requestLog, clock)
+    private val peerForwarding = PeerForwarding(forwarder, request, relay, requestLog)
     private val modelGate = ModelGate(request, state, versionGate, requestLog, clock)
     private val permitGate = PermitGate(request, state, loans, requestLog, clock)
 
     /** Tries servers in turn until the caller has a complete response, a refusal or an abort. */
     suspend fun run() {
-        request.head.model?.let {
-            state.recordDemand(ServiceModel(request.service, it), request.head.outputTokens)
+        // The instance that has admitted a relayed request reports it.
+        if (!request.isRelayed) {
+            request.head.model?.let {
+                state.recordDemand(ServiceModel(request.service, it), request.head.outputTokens)
+            }
+            state.retryBudgetOf(request.service).recordRequest(clock.monotonicMillis())
+        }
+        var refusal = versionGate.refusal()
+        var hasEnded = false
+        while (refusal == null && !hasEnded) {
+            refusal = promptGate.refusal()
+            if (refusal == null) hasEnded = trySending()
         }
-        state.retryBudgetOf(request.service).recordRequest(clock.monotonicMillis())
-        val refusal = versionGate.refusal() ?: tryServers()
         refusal?.let { refuseOrFail(it) }
     }
 
-    /** Returns why the request must not be sent on, null if it has ended. */
-    private suspend fun tryServers(): Refusal? {
-        while (true) {
-            promptGate.refusal()?.let { return it }
-            val chosen = chooseBackend() ?: return null
-            // The request may have waited for its model.
-            val refusal =
-                promptGate.refusal() ?: trialGate.refusal(chosen.backend, !chosen.needsPermit)
-            if (refusal != null) return refusal
-            val isFinal = sendTo(chosen)
-            if (isFinal) return null
-            triedBackendIds += chosen.backend.id
+    /** Sends the request on, by another instance if this one is cut off; true if it has ended. */
+    private suspend fun trySending(): Boolean {
+        if (peerForwarding.isNeeded()) {
+            val result = sendThroughPeer()
+            if (result != PeerResult.NO_PEER) return result == PeerResult.ENDED
+        }
+        val chosen = chooseBackend() ?: return true
+        // The request may have waited for its model.
+        val refusal = promptGate.refusal() ?: trialGate.refusal(chosen.backend, !chosen.needsPermit)
+        if (refusal != null) {
+            refuseOrFail(refusal)
+            return true
         }
+        val isFinal = sendTo(chosen)
+        triedBackendIds += chosen.backend.id
+        return isFinal
     }
 
     private fun recordAnswer() {
@@ -106,17 +117,7 @@
                     return null
                 }
 
-                BackendSelection.NoCapacity -> {
-                    val permitWaitMillis = permitGate.waitMillis(candidates, nowMillis)
-                    refuseOrFail(
-                        "servers for ${requestedModel ?: "the service"} are full, cold, limited, " +
-                            "resting or failing",
-                        permitWaitMillis?.let {
-                            maxOf(it, RETRY_AFTER_MILLIS) + jitterMillis(RETRY_JITTER_MILLIS)
-                        }
-                    )
-                    return null
-                }
+                BackendSelection.NoCapacity -> if (!mayChooseAgain(candidates)) return null
 
                 BackendSelection.NoBackend -> {
                     refuseOrFail("the service has no usable server")
@@ -126,6 +127,55 @@
         }
     }
 
+    /** Lets another instance try what [candidates] can't, or refuses; false if it has ended. */
+    private suspend fun mayChooseAgain(candidates: List<Candidate>): Boolean {
+        val result =
+            if (peerForwarding.mayReachMore(candidates)) sendThroughPeer() else PeerResult.NO_PEER
+        if (result != PeerResult.NO_PEER) return result == PeerResult.MAY_GO_ON
+        val permitWaitMillis = permitGate.waitMillis(candidates, clock.monotonicMillis())
+        refuseOrFail(
+            "servers for ${request.head.model ?: "the service"} are full, cold, limited, " +
+                "resting or failing",
+            permitWaitMillis?.let {
+                maxOf(it, RETRY_AFTER_MILLIS) + jitterMillis(RETRY_JITTER_MILLIS)
+            }
+        )
+        return false
+    }
+
+    private enum class PeerResult { ENDED, MAY_GO_ON, NO_PEER }
+
+    private suspend fun sendThroughPeer(): PeerResult {
+        val nowMillis = clock.monotonicMillis()
+        if (requestLog.reachedBackends > 0 && !mayRetry(nowMillis)) return PeerResult.NO_PEER
+        if (writer.hasStarted && !versionGate.mayContinueAnywhere) return PeerResult.NO_PEER
+        state.paths.recordShortage(request.service)
+        // One attempt is kept for the case that the other instance is lost.
+        val attempts = (request.maxAttempts - possibleExecutions - 1).coerceAtLeast(1)
+        mayBeRunning = true
+        return when (val outcome = peerForwarding.send(attempts, versionGate.version)) {
+            PeerOutcome.Answered -> PeerResult.ENDED
+
+            PeerOutcome.NoPeer -> {
+                mayBeRunning = false
+                PeerResult.NO_PEER
+            }
+
+            is PeerOutcome.Refused -> {
+                mayBeRunning = false
+                refuseOrFail(outcome.refusal)
+                PeerResult.ENDED
+            }
+
+            is PeerOutcome.Failed -> {
+                possibleExecutions += attempts
+                if (outcome.isFinal) fail(outcome.reason)
+                val hasEnded = outcome.isFinal || failUnlessRepeatable(outcome.reason)
+                if (hasEnded) PeerResult.ENDED else PeerResult.MAY_GO_ON
+            }
+        }
+    }
+
     /** Returns the servers that may get the request, of the version that began its stream. */
     private fun candidates(): List<Candidate> =
         state.candidates(request.service, request.head.model)
@@ -180,7 +230,7 @@
     ): AttemptResult {
         val nowMillis = clock.monotonicMillis()
         load.recordReached(isSent = result !is SendResult.NotSent, nowMillis)
-        recordPath(backend, result)
+        result.hasReachedServer?.let { state.paths.record(backend, it) }
         return when (result) {
             is SendResult.NotSent -> {
                 mayBeRunning = false
@@ -193,7 +243,7 @@
                 if (result.isMisdirected) {
                     request.head.model?.let { state.markAbsent(backend, it) }
                 } else {
-                    recordNotices(backend, load, result.head, sentMillis)
+                    state.recordNotices(backend, result.head, sentMillis)
                 }
                 AttemptResult(RequestOutcome.REFUSED, isFinal = false)
             }
@@ -214,32 +264,12 @@
                 possibleExecutions++
                 state.suspectedRequests.recordResponse(backend.run, sentMillis)
                 result.head.load?.let { load.report(it, nowMillis) }
-                recordNotices(backend, load, result.head, sentMillis)
+                state.recordNotices(backend, result.head, sentMillis)
                 handleResponse(backend, load, result, nowMillis)
             }
         }
     }
 
-    private fun recordPath(backend: Backend, result: SendResult) {
-        when (result) {
-            is SendResult.NotSent -> state.paths.recordUnreached(backend)
-            is SendResult.OutcomeUnknown ->
-                if (result.hasLostConnection) state.paths.recordUnreached(backend)
-            is SendResult.NotRun, is SendResult.Responded -> state.paths.recordReached(backend)
-        }
-    }
-
-    private fun recordNotices(
-        backend: Backend,
-        load: BackendLoad,
-        head: ResponseHead,
-        sentMillis: Long
-    ) {
-        state.limits.record(backend, head.limit, sentMillis)
-        state.notices.recordRest(backend, load, head.rest)
-        if (head.isLeaving) state.notices.markLeaving(setOf(backend.run))
-    }
-
     private suspend fun handleResponse(
         backend: Backend,
         load: BackendLoad,
@@ -278,14 +308,12 @@
     private fun shouldTryAnother(load: BackendLoad, nowMillis: Long): Boolean =
         load.failureScore(nowMillis) >= RETRY_FAILURE_SCORE &&
             request.route.repeatability == Repeatability.IDEMPOTENT &&
-            possibleExecutions < request.route.maxAttempts && hasUntriedBackend() &&
+            possibleExecutions < request.maxAttempts &&
+            candidates().any { it.backend.id !in triedBackendIds } &&
             state.retryBudgetOf(request.service).mayRetry(state.instanceCount, nowMillis)
 
-    private fun hasUntriedBackend(): Boolean =
-        candidates().any { it.backend.id !in triedBackendIds }
-
     private fun backendAttempt(backend: Backend) = BackendAttempt(
-        backend = backend,
+        serverId = backend.id,
         remainingMillis = (request.deadlineAtMillis - clock.monotonicMillis()).coerceAtLeast(1),
         account = request.account?.name,
         priority = request.priority,
@@ -304,7 +332,7 @@
         val repeatability = request.route.repeatability
         val mayRepeat = repeatability == Repeatability.RESUMABLE ||
             repeatability == Repeatability.IDEMPOTENT && !writer.hasStarted
-        return mayRepeat && possibleExecutions < request.route.maxAttempts
+        return mayRepeat && possibleExecutions < request.maxAttempts
     }
 
     private fun refuseOrFail(reason: String, retryAfterMillis: Long? = null) {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestLog.kt
@@ -61,6 +61,24 @@
         )
     }
 
+    /** Logs the [result] of sending the request through the instance [peer] at [sentMillis]. */
+    fun logRelay(peer: String, result: SendResult, sentMillis: Long) {
+        val nowMillis = clock.monotonicMillis()
+        val isTaken = result is SendResult.Responded || result is SendResult.OutcomeUnknown
+        if (isTaken) reachedBackends++
+        if (result is SendResult.Responded && responseHeadMillis == null) {
+            responseHeadMillis = nowMillis - request.arrivedAtMillis
+        }
+        DecisionLog.recordRequest(
+            "relayed",
+            request.head.requestId,
+            isSuccess = result is SendResult.Responded && !result.headers.status().isServerError,
+            "peer" to peer,
+            "tookMillis" to nowMillis - sentMillis,
+            "outcome" to outcomeText(result)
+        )
+    }
+
     /**
      * Logs that there is no permit for a request to the server [target] for [waitMillis], null if
      * the leader did not answer.
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/VersionGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/VersionGate.kt
@@ -24,14 +24,25 @@
     private val versions = state.streamVersions
     private val continuesStream =
         request.head.resumedRequestId != null || request.head.lastEventId != null
-    private var version: String? = null
+
+    /** The software version that began the stream, null if it is not known. */
+    var version: String? = request.serverVersion
+        private set
+
+    /** Whether a stream that has begun may go on although its version is not known. */
+    val mayContinueAnywhere: Boolean
+        get() = version != null || !versions.history.isMixed(request.service)
 
     /** Whether the request may be sent to [server]. */
     fun allows(server: Backend): Boolean = version == null || server.version == version
 
     /** Waits until the version is known; returns why the stream cannot continue, null if it can. */
     suspend fun refusal(): Refusal? {
-        if (!continuesStream || !versions.history.isMixed(request.service)) return null
+        if (version != null || !continuesStream ||
+            !versions.history.isMixed(request.service)
+        ) {
+            return null
+        }
         val startMillis = clock.monotonicMillis()
         val stream = request.head.resumedRequestId
         version = stream?.let { versions.versionOf(it) }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderController.kt
@@ -6,6 +6,7 @@
  */
 package mustarddale.instance.serving.leader
 
+import java.util.random.RandomGenerator
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -18,6 +19,7 @@
 import mustarddale.serving.leadership.LastOrder
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.leadership.LeadershipTerm
+import mustarddale.serving.path.RelayDirectory
 import mustarddale.serving.prompt.CrashAnalyzer
 import mustarddale.serving.version.StreamRecords
 import mustarddale.serving.version.VersionedStreams
@@ -59,6 +61,10 @@
     /** The number of the newest stream whose version is known. */
     public val lastStreamNumber: Long get() = newestTerm?.streams?.lastNumber ?: 0
 
+    /** Whether an instance that reaches all services could lead in place of this one. */
+    public fun hasBetterConnectedMember(): Boolean =
+        activeTerm()?.relays?.hasConnectedMember(clock.monotonicMillis()) ?: false
+
     /** Called when an engine's contents have changed or an instance got its first shares. */
     public var onStateChanged: () -> Unit = {}
 
@@ -72,6 +78,13 @@
         current.handleTrialReport(report, nowMillis)
         handleStreams(report.streams)
         state.notices.markLeaving(report.leavingServers)
+        current.relays.report(
+            report.instance,
+            report.relayPeer,
+            report.cutOffServices,
+            report.needsRelay,
+            nowMillis
+        )
         if (current.permits.handleReport(report)) onStateChanged()
         return true
     }
@@ -123,7 +136,8 @@
             serverLimits = current.permits.limits,
             rank = current.shares.rankOf(member),
             leavingServers = state.notices.leavingRuns,
-            logEnd = elector.logEnd
+            logEnd = elector.logEnd,
+            relayPeers = current.relays.peersFor(member, nowMillis)
         )
     }
 
@@ -208,6 +222,7 @@
         val crashes = CrashAnalyzer()
         val streams = StreamRecords(MAX_STREAMS)
         val trials = RequestTrials(leadership.sinceMillis)
+        val relays = RelayDirectory(RandomGenerator.getDefault())
         private val blockInterval = MinInterval(BLOCK_INTERVAL_MILLIS)
         val shares = ShareController(leadership, state, clock) { onStateChanged() }
         private val endedProcesses =
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
@@ -44,8 +44,12 @@
     )
     private val wakeups = Channel<Unit>(Channel.CONFLATED)
     private var hasResigned = false
+    private var heldBackSinceMillis: Long? = null
     private var clockOffsetMillis = clock.wallMillis() - clock.monotonicMillis()
 
+    /** Whether this instance should lead while others can; it stands in if nobody else does. */
+    public var isEligible: () -> Boolean = { true }
+
     /** Called once with each term that this instance wins. */
     public var onElected: (LeadershipTerm) -> Unit = {}
 
@@ -109,14 +113,44 @@
             when (val step = election.next(nowMillis)) {
                 is ElectionStep.Wait -> pause(step.untilMillis - nowMillis)
                 is ElectionStep.Read -> read(step.offset)
-                is ElectionStep.Append -> if (hasResigned) pause(MAX_PAUSE_MILLIS) else append(step)
+                is ElectionStep.Append -> when {
+                    hasResigned -> pause(MAX_PAUSE_MILLIS)
+                    mustHoldBack(step, nowMillis) -> holdBack()
+                    else -> append(step)
+                }
             }
         }
     }
 
-    /** Resigns, so that another instance can become leader at once. */
+    /** Whether another instance should become leader first. */
+    private fun mustHoldBack(step: ElectionStep.Append, nowMillis: Long): Boolean {
+        if (step.term != LeaderRecord.UNKNOWN_TERM || isEligible()) {
+            heldBackSinceMillis = null
+            return false
+        }
+        val sinceMillis = heldBackSinceMillis ?: nowMillis
+        heldBackSinceMillis = sinceMillis
+        return nowMillis - sinceMillis < MAX_HOLD_BACK_MILLIS
+    }
+
+    private suspend fun holdBack() {
+        pause(RETRY_DELAY_MILLIS)
+        election.suspectLeader()
+    }
+
+    /** Hands the leadership over because of [reason]; this instance may lead again later. */
+    public suspend fun yieldLeadership(reason: String) {
+        DecisionLog.record("leadership_yielded", "reason" to reason)
+        appendResignation()
+    }
+
+    /** Resigns for good, so that another instance can become leader at once. */
     public suspend fun resign() {
         hasResigned = true
+        appendResignation()
+    }
+
+    private suspend fun appendResignation() {
         val term = ownTerm() ?: return
         val endOffset = checkNotNull(election.newest).offset + 1
         val record =
@@ -239,6 +273,9 @@
         /** Clocks of two instances drift apart by far less than this within one lease. */
         const val MAX_CLOCK_DRIFT_MILLIS = 100L
 
+        /** Several elections can take place in this time. */
+        const val MAX_HOLD_BACK_MILLIS = 2_000L
+
         /** Bounds the delay if a wake-up is missed. */
         const val MAX_PAUSE_MILLIS = 500L
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderMessage.kt
@@ -13,6 +13,7 @@
 import mustarddale.serving.leadership.InstanceAddress
 import mustarddale.serving.limit.LimitObservation
 import mustarddale.serving.limit.ServerLimit
+import mustarddale.serving.path.RelayPeer
 import mustarddale.serving.prompt.CrashSuspect
 import mustarddale.serving.prompt.PromptBlock
 import mustarddale.serving.version.ServiceVersions
@@ -47,6 +48,9 @@
      * @property limitObservations what it has learned of them since the last report.
      * @property leavingServers the runs of the servers that leave, as this instance knows them.
      * @property address where this process listens, null if the leader knows it.
+     * @property relayPeer how other instances reach this one, null if the leader knows it.
+     * @property cutOffServices the services of which this instance reaches no server.
+     * @property needsRelay whether it needs others to reach servers.
      */
     @Serializable
     @SerialName("report")
@@ -74,7 +78,10 @@
         public val serverLimits: List<ServerLimit> = emptyList(),
         public val limitObservations: List<LimitObservation> = emptyList(),
         public val leavingServers: Set<String> = emptySet(),
-        public val address: InstanceAddress? = null
+        public val address: InstanceAddress? = null,
+        public val relayPeer: RelayPeer? = null,
+        public val cutOffServices: Set<String> = emptySet(),
+        public val needsRelay: Boolean = false
     ) : LeaderMessage
 
     /**
@@ -94,6 +101,7 @@
      * @property mixedServices the services that have lately had several software versions.
      * @property serverLimits all limits that servers have set.
      * @property leavingServers the runs of all servers that leave.
+     * @property relayPeers instances that can relay requests of an instance that lacks servers.
      * @property rank the place of the instance among [instances] if there is no leader to ask.
      * @property logEnd the offset after the newest record of the leadership log.
      */
@@ -117,7 +125,8 @@
         public val serverLimits: List<ServerLimit> = emptyList(),
         public val rank: Int = 0,
         public val leavingServers: Set<String> = emptySet(),
-        public val logEnd: Long? = null
+        public val logEnd: Long? = null,
+        public val relayPeers: List<RelayPeer> = emptyList()
     ) : LeaderMessage
 
     /** New streams of an instance whose versions matter, sent between its reports. */
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/MemberAgent.kt
@@ -11,6 +11,7 @@
 import mustarddale.serving.leadership.InstanceAddress
 import mustarddale.serving.leadership.LeaderRecord
 import mustarddale.serving.limit.RotationPlace
+import mustarddale.serving.path.RelayPeer
 import mustarddale.serving.quota.EffectiveShares
 import mustarddale.serving.version.VersionedStreams
 import mustarddale.time.Clock
@@ -20,11 +21,13 @@
  *
  * @param backends the feed of the backend server list, which takes records from the leader.
  * @param self the id and address of this process.
+ * @param relayPeer how other instances send it requests.
  */
 public class MemberAgent(
     private val state: ServingState,
     private val backends: KeyedFeed,
     private val self: LeaderRecord,
+    private val relayPeer: RelayPeer,
     private val clock: Clock
 ) {
     /** The term of the leader whose state was applied last. */
@@ -89,7 +92,10 @@
             serverLimits = state.limits.known(),
             limitObservations = state.limits.takeObservations(),
             leavingServers = state.notices.leavingRuns,
-            address = InstanceAddress(self.host, self.port).takeUnless { isKnownToLeader }
+            address = InstanceAddress(self.host, self.port).takeUnless { isKnownToLeader },
+            relayPeer = relayPeer.takeUnless { isKnownToLeader },
+            cutOffServices = state.paths.cutOffServices.toSet(),
+            needsRelay = state.paths.shortServices.isNotEmpty()
         )
     }
 
@@ -119,6 +125,7 @@
             state.streamVersions.forgetReports()
         }
         isKnownToLeader = message.answers >= firstReportNumber
+        state.relayPeers.update(message.relayPeers)
         leaderSentMillis = message.sentMillis
         effectiveShares.onLeaderMessage(nowMillis)
         state.residency.recordLeaderContact(nowMillis)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/PlacementController.kt
@@ -108,9 +108,11 @@
         val report = engineClient.fetchReport(inventory.engine)
         placement.pendingReports.remove(inventory.engine.id)
         if (report == null) {
+            state.paths.recordUnreached(inventory.engine)
             inventory.reportFailed(clock.monotonicMillis())
             return
         }
+        state.paths.recordReached(inventory.engine)
         if (report.isLeaving) state.notices.markLeaving(setOf(inventory.engine.run))
         inventory.report(report, sentMillis, clock.monotonicMillis())
         publish(placement, inventory)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/protocol/ServingProtocol.kt
@@ -7,7 +7,6 @@
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
 import mustarddale.error.Refusal
-import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.ModelRef
 import mustarddale.serving.backend.ReportedLoad
 import mustarddale.serving.backend.RestSignal
@@ -45,12 +44,13 @@
 /**
  * One attempt to send a request to a backend server.
  *
+ * @property serverId the id of the server.
  * @property remainingMillis the time left until the request's deadline.
  * @property account the client account of the request, null if it has none.
  * @property lastEventId the event after which a stream is to continue, null for a whole stream.
  */
 public data class BackendAttempt(
-    public val backend: Backend,
+    public val serverId: String,
     public val remainingMillis: Long,
     public val account: String?,
     public val priority: Int,
@@ -109,4 +109,10 @@
 
     /** Returns the response head for a [refusal] of the request [requestId]. */
     public fun refusalHeaders(refusal: Refusal, requestId: String?): ResponseHeaders
+
+    /**
+     * Returns the response head for a [refusal] of the request [requestId] of another instance,
+     * which reads it as it reads the response of a backend server.
+     */
+    public fun notRunHeaders(refusal: Refusal, requestId: String?): ResponseHeaders
 }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/settings/ServingSettings.kt
@@ -32,4 +32,7 @@
     public val termGraceMillis: Long,
     public val bufferBytes: Long,
     public val orderLeaseMillis: Long
-)
+) {
+    /** The port that takes requests of other instances; callers can't reach it. */
+    public val relayPort: Int get() = metricsPort
+}
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/PathMonitor.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/PathMonitor.kt
@@ -9,19 +9,35 @@
 public class PathMonitor(private val clock: Clock) {
     private val paths = ServerPaths()
     private val cutOffSinceMillis = HashMap<String, Long>()
+    private val shortUntilMillis = HashMap<String, Long>()
 
     /** The services whose servers this instance can't reach. */
     public val cutOffServices: Set<String> get() = cutOffSinceMillis.keys
 
+    /** The services whose requests need another instance, wholly or in part. */
+    public val shortServices: Set<String>
+        get() {
+            shortUntilMillis.values.removeIf { it < clock.monotonicMillis() }
+            return cutOffServices + shortUntilMillis.keys
+        }
+
     /** The ids of the servers that have not responded since a connection to them failed. */
     public val unreachedServers: Set<String> get() = paths.unreachedServers
 
+    /** Called when a service has been cut off or lacks a server. */
+    public var onShortage: () -> Unit = {}
+
     /** Whether [server] has not responded since a connection to it failed. */
     public fun isUnreached(server: Backend): Boolean = paths.isUnreached(server.id)
 
     /** Whether this instance can't reach the servers of [service]. */
     public fun isCutOff(service: String): Boolean = service in cutOffSinceMillis
 
+    /** Records whether a request to [server] [isReached] it. */
+    public fun record(server: Backend, isReached: Boolean) {
+        if (isReached) recordReached(server) else recordUnreached(server)
+    }
+
     /** Records that [server] has responded or accepted a connection. */
     public fun recordReached(server: Backend) {
         paths.recordReached(server.service, server.id, clock.monotonicMillis())
@@ -34,6 +50,12 @@
         update(server.service)
     }
 
+    /** Records that a request needs another instance to reach a server of [service]. */
+    public fun recordShortage(service: String) {
+        val untilMillis = clock.monotonicMillis() + SHORTAGE_MILLIS
+        if (shortUntilMillis.put(service, untilMillis) == null && !isCutOff(service)) onShortage()
+    }
+
     /** Forgets [server], which has left the list. */
     public fun forget(server: Backend) {
         paths.forget(server.id)
@@ -49,6 +71,7 @@
                 "service" to service,
                 "unreached" to paths.unreachedServers.toSet()
             )
+            onShortage()
         }
         if (isCutOff) return
         cutOffSinceMillis.remove(service)?.let {
@@ -60,4 +83,9 @@
             )
         }
     }
+
+    private companion object {
+        /** How long other instances are asked for after a request that needed one. */
+        const val SHORTAGE_MILLIS = 5_000L
+    }
 }
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/RelayPeers.kt
@@ -0,0 +1,62 @@
+package mustarddale.instance.serving.state
+
+import java.util.random.RandomGenerator
+import kotlinx.coroutines.delay
+import mustarddale.serving.path.RelayPeer
+import mustarddale.time.Clock
+
+/** The instances that relay requests for this one, as the leader has named them. */
+public class RelayPeers(private val clock: Clock, private val random: RandomGenerator) {
+    private var peers = emptyList<RelayPeer>()
+    private val openByRun = HashMap<String, Int>()
+    private val avoidedUntilMillis = HashMap<String, Long>()
+
+    /** Replaces the known instances by [newPeers], unless there are none. */
+    public fun update(newPeers: List<RelayPeer>) {
+        if (newPeers.isEmpty()) return
+        peers = newPeers
+        openByRun.values.removeIf { it == 0 }
+        avoidedUntilMillis.values.removeIf { it < clock.monotonicMillis() }
+    }
+
+    /** Returns the better of two random instances that are not in [triedRuns]; null for none. */
+    public suspend fun choose(failureDomain: String, triedRuns: Set<String>): RelayPeer? {
+        val untilMillis = clock.monotonicMillis() + MAX_WAIT_MILLIS
+        while (peers.isEmpty() && clock.monotonicMillis() < untilMillis) delay(CHECK_MILLIS)
+        val nowMillis = clock.monotonicMillis()
+        val usable = peers.filter {
+            it.run !in triedRuns && (avoidedUntilMillis[it.run] ?: nowMillis) <= nowMillis
+        }
+        if (usable.isEmpty()) return null
+        return List(2) { usable[random.nextInt(usable.size)] }.minByOrNull {
+            val distance = if (it.failureDomain == failureDomain) 0 else OTHER_DOMAIN_COST
+            (openByRun[it.run] ?: 0) + distance
+        }
+    }
+
+    /** Records that a request is sent to [peer]. */
+    public fun recordSent(peer: RelayPeer) {
+        openByRun.merge(peer.run, 1, Int::plus)
+    }
+
+    /** Records that a request to [peer] has ended. */
+    public fun recordEnded(peer: RelayPeer) {
+        openByRun.computeIfPresent(peer.run) { _, open -> open - 1 }
+    }
+
+    /** Records that [peer] can't relay requests at the moment. */
+    public fun avoid(peer: RelayPeer) {
+        avoidedUntilMillis[peer.run] = clock.monotonicMillis() + AVOIDED_MILLIS
+    }
+
+    private companion object {
+        /** The leader answers an urgent report within this time. */
+        const val MAX_WAIT_MILLIS = 150L
+        const val CHECK_MILLIS = 5L
+
+        /** A request in the own domain is about as good as one with this many fewer open. */
+        const val OTHER_DOMAIN_COST = 2
+
+        const val AVOIDED_MILLIS = 500L
+    }
+}
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/ServingState.kt
@@ -6,8 +6,10 @@
  */
 package mustarddale.instance.serving.state
 
+import java.util.random.RandomGenerator
 import kotlinx.collections.immutable.persistentMapOf
 import mustarddale.instance.serving.DecisionLog
+import mustarddale.instance.serving.protocol.ResponseHead
 import mustarddale.instance.serving.settings.ServingSettings
 import mustarddale.serving.backend.Backend
 import mustarddale.serving.backend.BackendChange
@@ -38,6 +40,9 @@
     /** The paths from this instance to backend servers. */
     public val paths: PathMonitor = PathMonitor(clock)
 
+    /** The instances that relay requests for this one. */
+    public val relayPeers: RelayPeers = RelayPeers(clock, RandomGenerator.getDefault())
+
     /** Delays requests that arrive while the process starts. */
     public val startupGate: StartupGate = StartupGate(clock)
 
@@ -282,6 +287,13 @@
         residency.markAbsent(backend.id, requestedModel, clock.monotonicMillis())
     }
 
+    /** Records what [backend] says of itself in the response to a request sent at [sentMillis]. */
+    public fun recordNotices(backend: Backend, head: ResponseHead, sentMillis: Long) {
+        limits.record(backend, head.limit, sentMillis)
+        notices.recordRest(backend, loadOf(backend), head.rest)
+        if (head.isLeaving) notices.markLeaving(setOf(backend.run))
+    }
+
     private class DemandCounter {
         var requests = 0
         var tokens = 0.0
