Keep the limits of instances whose processes have ended for their next ones

Cause: an instance is granted at most what the newest record in the store allows it; with the shares of its earlier process this limit was dropped too, and the store was silent from 18.0 s on. The limit stays in the records now, for as long as the lease of the earlier shares.

The new case of ShareAllocatorTest failed before (no holder in the record, no grant).

--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
@@ -78,6 +78,9 @@
 ) {
     private val holdings = HashMap<String, Holding>()
     private val unreportedHolders = earlierHolders.associateByTo(HashMap()) { it.instance }
+
+    /** The limits of instances whose processes have ended, for their next processes. */
+    private val endedHolders = HashMap<String, ShareHolder>()
     private val startedAtMillis = startMillis
     private var demandDecayedAtMillis = startMillis
     private var minConfirmedSentMillis = Long.MIN_VALUE
@@ -109,8 +112,8 @@
                 holding.address
             )
         }
-        return known +
-            unreportedHolders.values.map { it.copy(leftMillis = leftMillis(it, nowMillis)) }
+        val earlier = unreportedHolders + endedHolders
+        return known + earlier.values.map { it.copy(leftMillis = leftMillis(it, nowMillis)) }
     }
 
     /** Returns where the processes listen that may hold shares and have not reported lately. */
@@ -122,12 +125,18 @@
             .mapNotNull { (instance, address) -> address?.let { instance to it } }.toMap()
     }
 
-    /** Records that the process of [instance] had ended at [atMillis], and holds no shares. */
+    /**
+     * Records that the process of [instance] had ended at [atMillis], and holds no shares. The next
+     * process may be granted as much at once, without a new record.
+     */
     public fun recordEnded(instance: String, atMillis: Long) {
+        val hasReportedSince = holdings[instance]?.let { it.reportedAtMillis >= atMillis } ?: false
+        if (hasReportedSince) return
+        val holder = holders(atMillis).find { it.instance == instance } ?: return
+        val leftMillis = holder.leftMillis + atMillis - startedAtMillis
+        endedHolders[instance] = holder.copy(leftMillis = leftMillis)
         unreportedHolders.remove(instance)
-        if (holdings[instance]?.let { it.reportedAtMillis < atMillis } == true) {
-            holdings.remove(instance)
-        }
+        holdings.remove(instance)
     }
 
     /** Adds headroom and rounds up to four decimal places, which keeps the records small. */
@@ -143,6 +152,7 @@
     /** Processes [report]; returns whether it is the first one of its instance or process. */
     public fun report(report: ShareReport, nowMillis: Long): Boolean {
         unreportedHolders.remove(report.instance)
+        endedHolders.remove(report.instance)
         val known = holdings[report.instance]?.takeIf { it.run == report.run }
         val holding = known ?: Holding(report.run, report.currentShares)
         holdings[report.instance] = holding
@@ -224,6 +234,7 @@
             nowMillis - it.reportedAtMillis > leaseMillis + LEASE_MARGIN_MILLIS
         }
         unreportedHolders.values.removeIf { leftMillis(it, nowMillis) <= 0 }
+        endedHolders.values.removeIf { leftMillis(it, nowMillis) <= 0 }
     }
 
     private fun decayDemand(nowMillis: Long) {
--- a/core/src/test/kotlin/mustarddale/serving/quota/ShareAllocatorTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/quota/ShareAllocatorTest.kt
@@ -64,6 +64,20 @@
         }
     }
 
+    /** Guards against instances that wait for the store after a restart of all of them. */
+    @Test
+    fun `the next process of an instance that has ended is granted shares without a new record`() {
+        val lost = ShareHolder("a", 0.5, 9_000, address = InstanceAddress("10.0.0.1", 7_600))
+        val allocator = ShareAllocator(listOf(lost), 1.0, leaseMillis, startMillis = 0)
+        allocator.recordEnded("a", 100)
+        val recorded = allocator.holders(200)
+        assertEquals(listOf("a"), recorded.map { it.instance })
+        assertEquals(8_800, recorded.single().leftMillis)
+        allocator.report(report("a", 0.0), 300)
+        val grant = allocator.grant(listOf(account), recorded, 300).getValue("a")
+        assertEquals(0.5, grant.shares.getValue(account), 1e-9)
+    }
+
     @Test
     fun `the share of an unreported instance reduces the shares of all others alike`() {
         val names = listOf("a", "b", "c", "d")
