Wait for the names of other instances only after asking for some

A request at an instance that is cut off waited 150 ms for instances that relay where the leader knew of none, as when all servers of a service are down, and was refused so much later. Found by reading, not seen in a run; RelayPeersTest.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -237,6 +237,7 @@
         state.onUrgentDemand = leaderConnections::reportNow
         state.streamVersions.onRecord = leaderConnections::reportStreams
         state.paths.onShortage = {
+            state.relayPeers.expect()
             leaderConnections.reportNow()
             pathProber.probe()
         }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/RelayPeers.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/RelayPeers.kt
@@ -10,6 +10,12 @@
     private var peers = emptyList<RelayPeer>()
     private val openByRun = HashMap<String, Int>()
     private val avoidedUntilMillis = HashMap<String, Long>()
+    private var awaitedUntilMillis = Long.MIN_VALUE
+
+    /** Lets requests wait a moment for the leader's answer, which has just been asked for some. */
+    public fun expect() {
+        awaitedUntilMillis = clock.monotonicMillis() + MAX_WAIT_MILLIS
+    }
 
     /** Replaces the known instances by [newPeers], unless there are none. */
     public fun update(newPeers: List<RelayPeer>) {
@@ -21,8 +27,7 @@
 
     /** Returns the better of two random instances that are not in [triedRuns]; null for none. */
     public suspend fun choose(failureDomain: String, triedRuns: Set<String>): RelayPeer? {
-        val untilMillis = clock.monotonicMillis() + MAX_WAIT_MILLIS
-        while (peers.isEmpty() && clock.monotonicMillis() < untilMillis) delay(CHECK_MILLIS)
+        while (peers.isEmpty() && clock.monotonicMillis() < awaitedUntilMillis) delay(CHECK_MILLIS)
         val nowMillis = clock.monotonicMillis()
         val usable = peers.filter {
             it.run !in triedRuns && (avoidedUntilMillis[it.run] ?: nowMillis) <= nowMillis
