Bound what the detection of ended processes costs

Found by reading: for each ended process a leader computed the limits of all holders (390 of them: 30 million steps after the loss of all), and a frozen process was asked ten times a second, each of which it would find when it wakes.

--- a/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
+++ b/core/src/main/kotlin/mustarddale/serving/quota/ShareAllocator.kt
@@ -132,13 +132,19 @@
     public fun recordEnded(instance: String, atMillis: Long) {
         val hasReportedSince = holdings[instance]?.let { it.reportedAtMillis >= atMillis } ?: false
         if (hasReportedSince) return
-        val holder = holders(atMillis).find { it.instance == instance } ?: return
-        val leftMillis = holder.leftMillis + atMillis - startedAtMillis
-        endedHolders[instance] = holder.copy(leftMillis = leftMillis)
-        unreportedHolders.remove(instance)
-        holdings.remove(instance)
+        val unreported = unreportedHolders.remove(instance)
+        val reported = holdings.remove(instance)?.let { limitsOf(instance, it, atMillis) }
+        (reported ?: unreported)?.let { endedHolders[instance] = it }
     }
 
+    private fun limitsOf(instance: String, holding: Holding, nowMillis: Long) = ShareHolder(
+        instance,
+        withHeadroom(total / (holdings.size + 1)),
+        nowMillis - startedAtMillis + leaseMillis + LEASE_MARGIN_MILLIS,
+        holding.accounts.associateWith { withHeadroom(holding.maxShare(it)) },
+        holding.address
+    )
+
     /** Adds headroom and rounds up to four decimal places, which keeps the records small. */
     private fun withHeadroom(share: Double): Double =
         (ceil(share * GROWTH_HEADROOM * SHARE_STEPS) / SHARE_STEPS).coerceAtMost(total)
--- a/core/src/test/kotlin/mustarddale/serving/quota/ShareAllocatorTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/quota/ShareAllocatorTest.kt
@@ -76,6 +76,10 @@
         allocator.report(report("a", 0.0), 300)
         val grant = allocator.grant(listOf(account), recorded, 300).getValue("a")
         assertEquals(0.5, grant.shares.getValue(account), 1e-9)
+        allocator.recordEnded("a", 400)
+        val limits = allocator.holders(400).single()
+        assertEquals(0.75, limits.maxShare(account), 1e-9, "what it held, with headroom")
+        assertEquals(leaseMillis + 500, limits.leftMillis)
     }
 
     @Test
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/EndedProcessDetector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/EndedProcessDetector.kt
@@ -27,14 +27,17 @@
     private val interval = MinInterval(INTERVAL_MILLIS)
     private val pending = HashSet<String>()
     private val refusals = HashMap<String, Int>()
+    private val runningUntilMillis = HashMap<String, Long>()
 
     /** Asks about some of the [silent] instances, if that is due. */
     fun check(silent: Map<String, InstanceAddress>) {
         refusals.keys.retainAll(silent.keys)
+        runningUntilMillis.keys.retainAll(silent.keys)
         val nowMillis = clock.monotonicMillis()
         if (silent.isEmpty() || interval.waitMillis(nowMillis) > 0) return
         interval.recordRun(nowMillis)
-        silent.filterKeys { it !in pending }.entries
+        silent.filterKeys { it !in pending && (runningUntilMillis[it] ?: nowMillis) <= nowMillis }
+            .entries
             .sortedByDescending { refusals[it.key] ?: 0 }
             .take(MAX_PENDING - pending.size)
             .forEach { (instance, address) -> ask(instance, address) }
@@ -46,21 +49,31 @@
             val sentMillis = clock.monotonicMillis()
             val result = probe(address)
             pending -= instance
-            if (result != ProbeResult.REFUSED) {
-                refusals.remove(instance)
-                return@launch
-            }
-            val count = refusals.merge(instance, 1, Int::plus) ?: 1
-            if (count >= REQUIRED_REFUSALS) onEnded(instance, sentMillis)
+            recordResult(instance, result, sentMillis)
         }
     }
 
+    private fun recordResult(instance: String, result: ProbeResult, sentMillis: Long) {
+        if (result == ProbeResult.ACCEPTED) {
+            runningUntilMillis[instance] = sentMillis + RUNNING_MILLIS
+        }
+        if (result != ProbeResult.REFUSED) {
+            refusals.remove(instance)
+            return
+        }
+        val count = refusals.merge(instance, 1, Int::plus) ?: 1
+        if (count >= REQUIRED_REFUSALS) onEnded(instance, sentMillis)
+    }
+
     private companion object {
         const val INTERVAL_MILLIS = 100L
 
         /** A connection may also be reset on its way. */
         const val REQUIRED_REFUSALS = 2
 
+        /** A frozen process has to take all connections that it was asked by once it wakes. */
+        const val RUNNING_MILLIS = 1_000L
+
         /** Bounds what a leader spends when all others have ended. */
         const val MAX_PENDING = 24
     }
