Send nothing through another instance where a server is only full or has crashed

A request goes there now only if all servers that hold its model are unreached, and two servers at least.

--- a/core/src/main/kotlin/mustarddale/serving/path/ServerPaths.kt
+++ b/core/src/main/kotlin/mustarddale/serving/path/ServerPaths.kt
@@ -33,6 +33,9 @@
     /** Whether [server] has not responded since a connection to it failed. */
     public fun isUnreached(server: String): Boolean = server in unreachedSinceMillis
 
+    /** Whether more servers are unreached than one that has failed by itself. */
+    public val hasSeveralUnreached: Boolean get() = unreachedSinceMillis.size >= MIN_SERVERS
+
     /** Whether this instance, rather than a server, seems to have lost its paths to [service]. */
     public fun isCutOff(service: String): Boolean {
         val lastResponseMillis = respondedAtMillis[service] ?: Long.MIN_VALUE
--- a/core/src/test/kotlin/mustarddale/serving/path/ServerPathsTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/path/ServerPathsTest.kt
@@ -66,6 +66,8 @@
             val paths = ServerPaths().apply(case.events)
             assertEquals(case.isCutOff, paths.isCutOff(SERVICE), case.name)
             assertEquals(case.isOtherCutOff, paths.isCutOff(OTHER), "${case.name}, other service")
+            val isSeveral = paths.unreachedServers.size > 1
+            assertEquals(isSeveral, paths.hasSeveralUnreached, "${case.name}, several unreached")
         }
     }
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/PeerForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/PeerForwarding.kt
@@ -42,12 +42,13 @@
     /** Whether the request goes through another instance without a direct attempt. */
     fun isNeeded(): Boolean = !request.isRelayed && state.paths.isCutOff(request.service)
 
-    /** Whether another instance may reach one of [candidates] that this one doesn't. */
-    fun mayReachMore(candidates: List<Candidate>): Boolean = !request.isRelayed &&
-        candidates.any { candidate ->
-            val holdsModel = request.head.model?.let { candidate.backend.holds(it) } ?: true
-            holdsModel && state.paths.isUnreached(candidate.backend)
-        }
+    /** Whether another instance may reach [candidates] for the request that this one doesn't. */
+    fun mayReachMore(candidates: List<Candidate>): Boolean {
+        if (request.isRelayed || !state.paths.hasSeveralUnreached) return false
+        val holders = candidates.map { it.backend }
+            .filter { server -> request.head.model?.let { server.holds(it) } ?: true }
+        return holders.isNotEmpty() && holders.all { state.paths.isUnreached(it) }
+    }
 
     /** Sends the request to one instance after the other until one takes it. */
     suspend fun send(maxAttempts: Int, serverVersion: String?): PeerOutcome {
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/PathMonitor.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/PathMonitor.kt
@@ -27,6 +27,9 @@
     /** Called when a service has been cut off or lacks a server. */
     public var onShortage: () -> Unit = {}
 
+    /** Whether more servers are unreached than one that has failed by itself. */
+    public val hasSeveralUnreached: Boolean get() = paths.hasSeveralUnreached
+
     /** Whether [server] has not responded since a connection to it failed. */
     public fun isUnreached(server: Backend): Boolean = paths.isUnreached(server.id)
 
