Decode only the newest leadership records of a read

The election looks at the newest record only, so the records are decoded from the last one back to one of the log's era. LeaderElectorTest and LeaderElectionTest pass.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
@@ -186,7 +186,7 @@
     private fun observe(read: TopicRead.Records) {
         val previousRun = election.newest?.record?.run
         val recorded = election.observe(
-            read.records.mapNotNull { decode(it) },
+            newestOf(read.records),
             read.nextOffset,
             clock.monotonicMillis()
         )
@@ -203,6 +203,16 @@
         }
     }
 
+    /**
+     * Decodes the records that may be the newest: from the last one back to one of the log's era. A
+     * start reads hundreds of records, each as long as the list of instances.
+     */
+    private fun newestOf(records: List<TopicRecord>): List<LeaderLogEntry> {
+        val decoded = records.asReversed().asSequence().mapNotNull { decode(it) }
+        val newest = decoded.firstOrNull { it.record.era == log.era }
+        return if (newest != null) listOf(newest) else decoded.toList()
+    }
+
     private suspend fun append(step: ElectionStep.Append) {
         val unfilled = self.copy(term = step.term, era = election.era)
         val record = fillInRecord(unfilled, election.newest?.record)
