Use the retry budget only for requests that another instance takes

Cause by reading: a try to send through another instance took from the retry budget also if there was none to take it, and the direct try then found the budget used up.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -147,13 +147,17 @@
 
     private suspend fun sendThroughPeer(): PeerResult {
         val nowMillis = clock.monotonicMillis()
-        if (requestLog.reachedBackends > 0 && !mayRetry(nowMillis)) return PeerResult.NO_PEER
+        val isRetry = requestLog.reachedBackends > 0
+        val budget = state.retryBudgetOf(request.service)
+        if (isRetry && !budget.mayRetry(state.instanceCount, nowMillis)) return PeerResult.NO_PEER
         if (writer.hasStarted && !versionGate.mayContinueAnywhere) return PeerResult.NO_PEER
         state.paths.recordShortage(request.service)
         // One attempt is kept for the case that the other instance is lost.
         val attempts = (request.maxAttempts - possibleExecutions - 1).coerceAtLeast(1)
         mayBeRunning = true
-        return when (val outcome = peerForwarding.send(attempts, versionGate.version)) {
+        val outcome = peerForwarding.send(attempts, versionGate.version)
+        if (isRetry && outcome != PeerOutcome.NoPeer) mayRetry(nowMillis)
+        return when (outcome) {
             PeerOutcome.Answered -> PeerResult.ENDED
 
             PeerOutcome.NoPeer -> {
