Log how the leadership log was read

An instance that cannot read the leadership log looked like one that waits for an election: failed reads left no line. leadership_unread names the outcome and its time, leadership_read the size of long reads. Tells a read that is too large for a small machine from an election that has to wait.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
@@ -174,15 +174,38 @@
     }
 
     private suspend fun read(offset: Long) {
+        val sentMillis = clock.monotonicMillis()
         var read = log.read(TOPIC, offset, waitMillis = 0)
         if (read is TopicRead.AgedOut) read = log.read(TOPIC, read.firstOffset, 0)
         when {
             log.era != election.era -> return
-            read is TopicRead.Records -> observe(read)
-            else -> delay(retryDelayMillis())
+            read is TopicRead.Records -> {
+                logRead(read, clock.monotonicMillis() - sentMillis)
+                observe(read)
+            }
+
+            else -> {
+                logUnread(read, clock.monotonicMillis() - sentMillis)
+                delay(retryDelayMillis())
+            }
         }
     }
 
+    private fun logRead(read: TopicRead.Records, tookMillis: Long) {
+        if (read.records.size < LOGGED_READ_RECORDS) return
+        DecisionLog.record(
+            "leadership_read",
+            "records" to read.records.size,
+            "bytes" to read.records.sumOf { it.bytes.size },
+            "end" to read.endOffset,
+            "tookMillis" to tookMillis
+        )
+    }
+
+    private fun logUnread(read: TopicRead, tookMillis: Long) {
+        DecisionLog.record("leadership_unread", "outcome" to read, "tookMillis" to tookMillis)
+    }
+
     private fun observe(read: TopicRead.Records) {
         val previousRun = election.newest?.record?.run
         val recorded = election.observe(
@@ -283,6 +306,9 @@
         /** Clocks of two instances drift apart by far less than this within one lease. */
         const val MAX_CLOCK_DRIFT_MILLIS = 100L
 
+        /** Reads of fewer records are those of renewals and elections. */
+        const val LOGGED_READ_RECORDS = 8
+
         /** Several elections can take place in this time. */
         const val MAX_HOLD_BACK_MILLIS = 2_000L
 
