Read callers' connections no faster than the event loop keeps up

One event loop does all work in the order of arrival, and 230 to 470 requests a second that could only be refused took the processor time of the configuration, the election and the shares; the leader was blocked for 0.8 to 2.3 s at a time and lost its members.

New connections of callers are held unread until the instance can answer or the startup time is over, and then read while rounds of the event loop are on time, else one a round. The startup time counts from when callers can connect: a slow machine had spent it before.

--- a/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/ServingInstance.kt
@@ -19,6 +19,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.ChannelOption
+import io.netty.channel.ChannelPipeline
 import io.netty.channel.epoll.EpollChannelOption
 import java.net.InetSocketAddress
 import java.time.Duration
@@ -34,6 +35,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import mustarddale.instance.http.BackendConnections
+import mustarddale.instance.http.ConnectionPacer
 import mustarddale.instance.http.ConnectionProbe
 import mustarddale.instance.http.ResponseCorrelation
 import mustarddale.instance.serving.feed.KeyedFeed
@@ -199,6 +201,8 @@
         mayAdmit = { shutdown == null }
     )
     private val pathProber = PathProber(scope, state, connectionProbe, platform::routeTo)
+    private val connectionPacer =
+        ConnectionPacer(eventLoop, clock, canAnswer = { state.startupGate.maxWaitMillis() == 0L })
     private var isYielding = false
     private var shutdown: ShutdownSchedule? = null
     private val server: Server = Server.builder()
@@ -206,7 +210,7 @@
         .http(InetSocketAddress(settings.host, settings.callerPort))
         .http(InetSocketAddress(settings.host, settings.readyPort))
         .http(InetSocketAddress(settings.host, settings.metricsPort))
-        .childChannelPipelineCustomizer(RequestTarget::preserveIn)
+        .childChannelPipelineCustomizer(::prepareConnection)
         .requestTimeoutMillis(0)
         .maxRequestLength(MAX_REQUEST_BYTES)
         .http1MaxInitialLineLength(MAX_HEAD_BYTES)
@@ -264,6 +268,7 @@
             it.suspectedRequests.blockedCount.toDouble()
         }
         server.start().join()
+        scope.launch { state.startupGate.onListening() }
         scope.launch { feeds.operators.run() }
         scope.launch { feeds.backends.run() }
         scope.launch { elector.run() }
@@ -318,6 +323,12 @@
         }
     }
 
+    private fun prepareConnection(pipeline: ChannelPipeline) {
+        RequestTarget.preserveIn(pipeline)
+        val address = pipeline.channel().localAddress() as? InetSocketAddress
+        if (address?.port == settings.callerPort) connectionPacer.hold(pipeline.channel())
+    }
+
     /** Serves other instances and the platform, but no callers. */
     private fun serveInternal(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
         if (relayService.handles(req.headers())) return relayService.serve(ctx, req)
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/StartupGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/StartupGate.kt
@@ -11,9 +11,14 @@
  */
 public class StartupGate(private val clock: Clock) {
     private val startMillis = clock.monotonicMillis()
-    private val opensAtLatestMillis = startMillis + MAX_STARTUP_WAIT_MILLIS
+    private var opensAtLatestMillis = startMillis + MAX_STARTUP_WAIT_MILLIS
     private val opened = CompletableDeferred<Unit>()
 
+    /** Records that callers can connect from now on, which a slow machine takes seconds to reach. */
+    public fun onListening() {
+        opensAtLatestMillis = clock.monotonicMillis() + MAX_STARTUP_WAIT_MILLIS
+    }
+
     /** Opens the gate, because requests can be admitted. */
     public fun open() {
         if (!opened.complete(Unit)) return
--- a/instance/src/test/kotlin/mustarddale/instance/serving/StartupGateTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/serving/StartupGateTest.kt
@@ -36,6 +36,25 @@
         }
     }
 
+    /** Guards against a slow machine whose startup time is over before anyone can connect. */
+    @Test
+    fun `the startup time counts from when callers can connect`() {
+        // When callers can connect, the time of arrival, the longest wait.
+        listOf(
+            Triple(0L, 400L, 600L),
+            Triple(5_700L, 5_700L, 1_000L),
+            Triple(5_700L, 6_600L, 100L),
+            Triple(5_700L, 6_700L, 0L)
+        ).forEach { (listeningMillis, atMillis, expected) ->
+            nowMillis = 0
+            val gate = StartupGate(clock)
+            nowMillis = listeningMillis
+            gate.onListening()
+            nowMillis = atMillis
+            assertEquals(expected, gate.maxWaitMillis(), "$listeningMillis, at $atMillis ms")
+        }
+    }
+
     @Test
     fun `a request waits until the gate opens`() = runBlocking(Dispatchers.Unconfined) {
         val gate = StartupGate(clock)
