--- a/instance/src/main/kotlin/mustarddale/instance/http/ConnectionPacer.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/ConnectionPacer.kt
@@ -23,6 +23,9 @@
     private val held = ArrayDeque<Channel>()
     private var roundDueMillis = 0L
 
+    /** The number of connections that wait for their turn. */
+    val heldCount: Int get() = held.size
+
     /** Holds [channel] until it is its turn. */
     fun hold(channel: Channel) {
         channel.config().isAutoRead = false
--- a/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/leader/LeaderElector.kt
@@ -9,13 +9,10 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import mustarddale.instance.log.AppendResult
 import mustarddale.instance.serving.DecisionLog
 import mustarddale.instance.serving.feed.TopicLog
 import mustarddale.instance.serving.feed.TopicRead
-import mustarddale.instance.serving.feed.TopicRecord
 import mustarddale.serving.leadership.ElectionStep
 import mustarddale.serving.leadership.ElectionTimings
 import mustarddale.serving.leadership.LeaderElection
@@ -42,9 +39,9 @@
             MAX_CLOCK_DRIFT_MILLIS
         )
     )
+    private val records = LeadershipRecords(log, clock)
     private val wakeups = Channel<Unit>(Channel.CONFLATED)
     private var hasResigned = false
-    private var readAtMillis = Long.MIN_VALUE / 2
     private var heldBackSinceMillis: Long? = null
     private var clockOffsetMillis = clock.wallMillis() - clock.monotonicMillis()
 
@@ -160,7 +157,7 @@
                 election.newest?.record
             )
         election.stepDown()
-        val result = log.appendAt(TOPIC, endOffset, encode(record))
+        val result = records.append(record, endOffset)
         DecisionLog.record("leader_resigned", "term" to term, "outcome" to result)
     }
 
@@ -175,60 +172,18 @@
     }
 
     private suspend fun read(offset: Long) {
-        val sentMillis = clock.monotonicMillis()
-        val isRecent = offset > 0 && sentMillis - readAtMillis < RECENT_READ_MILLIS
-        val read = if (isRecent) readFrom(offset) else readEnd(offset)
+        val read = records.read(offset)
         when {
             log.era != election.era -> return
-            read is TopicRead.Records -> {
-                readAtMillis = sentMillis
-                logRead(read, clock.monotonicMillis() - sentMillis)
-                observe(read)
-            }
-
-            else -> {
-                logUnread(read, clock.monotonicMillis() - sentMillis)
-                delay(retryDelayMillis())
-            }
+            read is TopicRead.Records -> observe(read)
+            else -> delay(retryDelayMillis())
         }
     }
 
-    private suspend fun readFrom(offset: Long): TopicRead {
-        val read = log.read(TOPIC, offset, waitMillis = 0)
-        return if (read is TopicRead.AgedOut) readEnd(read.firstOffset) else read
-    }
-
-    /**
-     * Reads the newest record alone: each is as long as the list of instances, and all that the log
-     * retains do not fit into a call over a slow link.
-     */
-    private suspend fun readEnd(knownOffset: Long): TopicRead {
-        val last = log.readLast(TOPIC, 1, knownOffset)
-        val record = (last as? TopicRead.Records)?.records?.lastOrNull() ?: return last
-        if (decode(record)?.record?.era == log.era) return last
-        // Appends of an earlier era may have reached the log after newer records.
-        return log.readLast(TOPIC, MAX_LATE_APPENDS, record.offset)
-    }
-
-    private fun logRead(read: TopicRead.Records, tookMillis: Long) {
-        if (read.records.size < LOGGED_READ_RECORDS) return
-        DecisionLog.record(
-            "leadership_read",
-            "records" to read.records.size,
-            "bytes" to read.records.sumOf { it.bytes.size },
-            "end" to read.endOffset,
-            "tookMillis" to tookMillis
-        )
-    }
-
-    private fun logUnread(read: TopicRead, tookMillis: Long) {
-        DecisionLog.record("leadership_unread", "outcome" to read, "tookMillis" to tookMillis)
-    }
-
     private fun observe(read: TopicRead.Records) {
         val previousRun = election.newest?.record?.run
         val recorded = election.observe(
-            newestOf(read.records),
+            records.newestOf(read.records),
             read.nextOffset,
             clock.monotonicMillis()
         )
@@ -245,18 +200,11 @@
         }
     }
 
-    /** Decodes the records that may be the newest: from the last one back to one of the log's era. */
-    private fun newestOf(records: List<TopicRecord>): List<LeaderLogEntry> {
-        val decoded = records.asReversed().asSequence().mapNotNull { decode(it) }
-        val newest = decoded.firstOrNull { it.record.era == log.era }
-        return if (newest != null) listOf(newest) else decoded.toList()
-    }
-
     private suspend fun append(step: ElectionStep.Append) {
         val unfilled = self.copy(term = step.term, era = election.era)
         val record = fillInRecord(unfilled, election.newest?.record)
         election.appendStarted(record, step.offset, clock.monotonicMillis())
-        val result = log.appendAt(TOPIC, step.offset, encode(record))
+        val result = records.append(record, step.offset)
         if (log.era != election.era) return
         if (result is AppendResult.Appended) {
             handleRecorded(election.appendSucceeded(), "answer")
@@ -298,20 +246,7 @@
 
     private fun retryDelayMillis(): Long = RETRY_DELAY_MILLIS + random.nextLong(RETRY_DELAY_MILLIS)
 
-    private fun encode(record: LeaderRecord): ByteArray =
-        Json.encodeToString(LeaderRecord.serializer(), record).toByteArray()
-
-    private fun decode(record: TopicRecord): LeaderLogEntry? = try {
-        val text = String(record.bytes, Charsets.UTF_8)
-        LeaderLogEntry(record.offset, Json.decodeFromString(LeaderRecord.serializer(), text))
-    } catch (e: SerializationException) {
-        DecisionLog.record("record_unreadable", "topic" to TOPIC, "error" to e.toString())
-        null
-    }
-
     private companion object {
-        const val TOPIC = "leadership"
-
         /** Short, so that a crash is detected soon; four renewals fit into it. */
         const val LEASE_MILLIS = 2_000L
         const val RENEWAL_INTERVAL_MILLIS = 500L
@@ -322,15 +257,6 @@
         /** Clocks of two instances drift apart by far less than this within one lease. */
         const val MAX_CLOCK_DRIFT_MILLIS = 100L
 
-        /** Reads of fewer records are those of renewals and elections. */
-        const val LOGGED_READ_RECORDS = 8
-
-        /** A few renewals take place in this time. */
-        const val RECENT_READ_MILLIS = 2_000L
-
-        /** More than the appends without an answer at the end of an era. */
-        const val MAX_LATE_APPENDS = 16
-
         /** Several elections can take place in this time. */
         const val MAX_HOLD_BACK_MILLIS = 2_000L
 
--- a/instance/src/main/kotlin/mustarddale/instance/serving/state/StartupGate.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/state/StartupGate.kt
@@ -14,7 +14,7 @@
     private var opensAtLatestMillis = startMillis + MAX_STARTUP_WAIT_MILLIS
     private val opened = CompletableDeferred<Unit>()
 
-    /** Records that callers can connect from now on, which a slow machine takes seconds to reach. */
+    /** Records that callers can connect from now on; slow machines need seconds until then. */
     public fun onListening() {
         opensAtLatestMillis = clock.monotonicMillis() + MAX_STARTUP_WAIT_MILLIS
     }
