Refuse responses whose status line is malformed

Callers got responses with the status 000 (also 001, 099, 2, 20, 600, 999, 1000, 0200, +200) and the versions HTTP/0.9, HTTP/2.0 and http/1.1 as answers.

Cause: the codec takes any number for a status and any word for a version, and nothing behind it can tell "0200" from "200". Ruled out: a check of the decoded head, which sees neither; the codec's own hooks, which get the words of the status line without what was between them.

Change: ResponseSyntaxGuard sits between the network and the codec of each connection of BackendConnections, follows the framing of responses (the codec tells it which bodies there are) and checks status lines against RFC 9112, 4. A malformed one ends as an unreadable head does already: 502, the connection closed, its later bytes dropped, the server counted as failing. The log line names the fault.

--- a/instance/src/main/kotlin/mustarddale/instance/http/BackendConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/BackendConnections.kt
@@ -17,7 +17,8 @@
     private val correlatorKey = AttributeKey.valueOf<ResponseCorrelator>("response-correlator")
 
     /**
-     * Returns a builder of factories whose clients never take a truncated response for whole.
+     * Returns a builder of factories whose clients never take a truncated response for whole, nor
+     * a malformed one for an answer.
      *
      * @param requestHandler a sharable handler of requests over HTTP/1, null for none.
      * @param correlation returns how responses name their requests, null if they do not.
@@ -62,6 +63,9 @@
                 attrs.attr(correlatorKey).set(correlator)
             }
             requestHandler?.let { pipeline.addAfter(codec.name(), null, it) }
+            val syntaxGuard = ResponseSyntaxGuard()
+            pipeline.addBefore(codec.name(), null, syntaxGuard)
+            pipeline.addAfter(codec.name(), null, syntaxGuard.codecObserver)
         }
 
         override fun connectionClosed(
--- a/instance/src/main/kotlin/mustarddale/instance/http/ResponseCorrelator.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/ResponseCorrelator.kt
@@ -20,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 import java.net.InetSocketAddress
+import java.net.ProtocolException
 import mustarddale.serving.response.ObservedHead
 import mustarddale.serving.response.ResponseMatcher
 import mustarddale.serving.response.ResponseVerdict
@@ -106,7 +107,8 @@
 
             is ResponseVerdict.GiveUp -> {
                 skippedHead = head
-                giveUp(ctx, verdict.reason)
+                val fault = response.decoderResult().cause() as? ProtocolException
+                giveUp(ctx, fault?.message ?: verdict.reason)
             }
         }
     }
--- /dev/null
+++ b/instance/src/main/kotlin/mustarddale/instance/http/ResponseSyntaxGuard.kt
@@ -0,0 +1,168 @@
+/*
+ * Keeps responses that break the grammar of HTTP/1 from the codec, which would repair them. It sits
+ * between the network and the codec, and a second handler behind the codec tells it how each body
+ * is framed.
+ */
+package mustarddale.instance.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import java.net.ProtocolException
+import mustarddale.serving.response.BodyEnd
+import mustarddale.serving.response.ResponsePart
+import mustarddale.serving.response.ResponseSyntax
+
+/** Guards one connection; runs on its event loop. */
+internal class ResponseSyntaxGuard : ChannelInboundHandlerAdapter() {
+    private val syntax = ResponseSyntax()
+    private val decoded = DecodedResponse()
+    private var isDiscarding = false
+
+    /** The beginning of a line whose end has not arrived. */
+    private var partialLine = Unpooled.EMPTY_BUFFER
+
+    /** The handler to add behind the codec. */
+    val codecObserver: ChannelInboundHandlerAdapter get() = decoded
+
+    override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
+        if (msg !is ByteBuf) {
+            ctx.fireChannelRead(msg)
+            return
+        }
+        val input = takePartialLine(msg)
+        try {
+            while (input.isReadable && !isDiscarding) check(ctx, input)
+        } finally {
+            input.release()
+        }
+    }
+
+    /** Passes on what has arrived of a head, so that the codec sees that it was cut off. */
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        val rest = takePartialLine(Unpooled.EMPTY_BUFFER)
+        if (rest.isReadable && !isDiscarding) ctx.fireChannelRead(rest) else rest.release()
+        ctx.fireChannelInactive()
+    }
+
+    private fun takePartialLine(next: ByteBuf): ByteBuf {
+        val first = partialLine
+        partialLine = Unpooled.EMPTY_BUFFER
+        return if (first.isReadable) Unpooled.wrappedBuffer(first, next) else next
+    }
+
+    /** Checks the [input] up to the end of a head or a response, and passes on what is sound. */
+    private fun check(ctx: ChannelHandlerContext, input: ByteBuf) {
+        var end = input.readerIndex()
+        var fault: String? = null
+        var hasPart = true
+        while (hasPart && fault == null && end < input.writerIndex()) {
+            val availableBytes = (input.writerIndex() - end).toLong()
+            when (val part = syntax.next) {
+                ResponsePart.Line -> {
+                    val lineFeed = input.indexOf(end, input.writerIndex(), LINE_FEED)
+                    if (lineFeed < 0) break
+                    val line = input.toString(end, lineFeed - end, Charsets.ISO_8859_1)
+                    fault = syntax.acceptLine(line.removeSuffix("\r"))
+                    if (fault == null) end = lineFeed + 1
+                }
+
+                is ResponsePart.Bytes -> {
+                    val count = minOf(part.count, availableBytes)
+                    syntax.acceptBytes(count)
+                    end += count.toInt()
+                }
+
+                ResponsePart.Rest -> end = input.writerIndex()
+            }
+            hasPart = !syntax.isHeadEnd && !syntax.isBetweenResponses
+        }
+        pass(ctx, input, end)
+        when {
+            decoded.hasFailed -> isDiscarding = true
+            fault != null -> reject(ctx, fault)
+            syntax.isHeadEnd -> syntax.beginBody(decoded.bodyEnd)
+            !hasPart && !decoded.hasEnded -> reject(ctx, "the response has no end")
+            hasPart -> keepPartialLine(ctx, input)
+        }
+    }
+
+    private fun pass(ctx: ChannelHandlerContext, input: ByteBuf, end: Int) {
+        val count = end - input.readerIndex()
+        if (count > 0) ctx.fireChannelRead(input.readRetainedSlice(count))
+    }
+
+    private fun keepPartialLine(ctx: ChannelHandlerContext, input: ByteBuf) {
+        if (input.readableBytes() > MAX_LINE_BYTES) {
+            reject(ctx, "a line is longer than $MAX_LINE_BYTES bytes")
+        } else {
+            partialLine = input.readBytes(input.readableBytes())
+        }
+    }
+
+    /** Ends the response with a failure in place of what is malformed in it. */
+    private fun reject(ctx: ChannelHandlerContext, fault: String) {
+        isDiscarding = true
+        val end = if (decoded.hasEnded) {
+            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, UNKNOWN_STATUS)
+        } else {
+            DefaultLastHttpContent()
+        }
+        end.setDecoderResult(DecoderResult.failure(ProtocolException(fault)))
+        ctx.fireChannelRead(end)
+        ctx.close()
+    }
+
+    /** What the codec has decoded of the latest response. */
+    private class DecodedResponse : ChannelInboundHandlerAdapter() {
+        private var markedEnd: BodyEnd = BodyEnd.Connection
+
+        /** Whether no response is under way. */
+        var hasEnded = true
+            private set
+
+        /** Whether the codec has failed, after which it takes no more responses. */
+        var hasFailed = false
+            private set
+
+        /** The end of the body; the codec knows which responses have none. */
+        val bodyEnd: BodyEnd get() = if (hasEnded) BodyEnd.Length(0) else markedEnd
+
+        override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
+            if (msg is HttpObject && msg.decoderResult().isFailure) hasFailed = true
+            if (msg is HttpResponse) {
+                hasEnded = false
+                markedEnd = markedEndOf(msg)
+            }
+            if (msg is LastHttpContent) hasEnded = true
+            ctx.fireChannelRead(msg)
+        }
+
+        private fun markedEndOf(response: HttpResponse): BodyEnd = when (BodyFraming.of(response)) {
+            BodyFraming.LENGTH -> BodyEnd.Length(HttpUtil.getContentLength(response, 0L))
+            BodyFraming.CHUNKS -> BodyEnd.LastChunk
+            BodyFraming.CONNECTION_CLOSE -> BodyEnd.Connection
+        }
+    }
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+
+        /** Above the longest line that the codec accepts. */
+        const val MAX_LINE_BYTES = 16 * 1_024
+
+        /** Stands for a response without a status line, as it does in the codec. */
+        val UNKNOWN_STATUS: HttpResponseStatus = HttpResponseStatus.valueOf(999)
+    }
+}
