Refuse responses with a malformed field in a head or in trailers

Callers got responses whose head has a name with a blank or a tab in it, a blank before a colon, a folded line or a line without a colon: the line arrived under another name, without the blank or joined to the value before it. "Content Length: 3" became the field "content" of a body up to the end of the connection, and of a response without another length "Content-Length : 3" made the first three bytes the whole body.

Cause: the codec cuts names at blanks and joins lines before anything can see them.

Change: ResponseSyntax checks each line of a head, and of the trailers behind chunks, as a field of RFC 9110, 5.5 and 5.6.2, and RFC 9112, 5. A fault in a head ends the response as unreadable; one in trailers breaks it off within its body. Folded lines are refused, as RFC 9112, 5.2 allows.

--- a/core/src/main/kotlin/mustarddale/serving/response/ResponseSyntax.kt
+++ b/core/src/main/kotlin/mustarddale/serving/response/ResponseSyntax.kt
@@ -1,7 +1,7 @@
 /*
  * Checks HTTP/1 responses against the grammar of RFC 9112 and follows their framing, which tells
- * where the next head begins. HTTP libraries repair malformed heads: they take any number for a
- * status, so that a decoded head shows no fault.
+ * where the next head begins. HTTP libraries repair malformed heads: they cut names at blanks, join
+ * folded lines and take any number for a status, so that a decoded head shows no fault.
  */
 package mustarddale.serving.response
 
@@ -48,10 +48,10 @@
     /** Takes the next [line], without its end; returns what is wrong with it, null if nothing. */
     public fun acceptLine(line: String): String? = when (state) {
         State.STATUS -> acceptStatusLine(line)
-        State.FIELDS -> if (line.isEmpty()) endHead() else null
+        State.FIELDS -> if (line.isEmpty()) endHead() else FieldSyntax.faultOf(line)
         State.SIZE -> acceptChunkSize(line)
         State.CHUNK_END -> acceptChunkEnd(line)
-        State.TRAILERS -> if (line.isEmpty()) endResponse() else null
+        State.TRAILERS -> if (line.isEmpty()) endResponse() else FieldSyntax.faultOf(line)
         State.HEAD_END, State.CHUNK, State.BODY -> error("no line is due")
     }
 
@@ -126,10 +126,7 @@
 
     private companion object {
         const val HEX = 16
-
-        /** A character of a reason or an extension of a chunk, as a regular expression. */
-        const val TEXT = "[\t\\x20-\\x7e\\x80-\\xff]"
-        val STATUS_LINE = Regex("HTTP/1\\.[0-9][ \t]+[1-5][0-9]{2}([ \t]$TEXT*)?")
-        val CHUNK_SIZE = Regex("([0-9a-fA-F]{1,15})[ \t]*(;$TEXT*)?")
+        val STATUS_LINE = Regex("HTTP/1\\.[0-9][ \t]+[1-5][0-9]{2}([ \t]${FieldSyntax.TEXT}*)?")
+        val CHUNK_SIZE = Regex("([0-9a-fA-F]{1,15})[ \t]*(;${FieldSyntax.TEXT}*)?")
     }
 }
--- a/core/src/test/kotlin/mustarddale/serving/response/ResponseSyntaxTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/response/ResponseSyntaxTest.kt
@@ -8,9 +8,12 @@
     private data class Case(val lines: List<String>, val fault: String?)
 
     private val statusLine = "the status line is malformed"
+    private val name = "the name of a field is malformed"
+    private val value = "the value of a field has a control character"
     private val sound = "HTTP/1.1 200 OK"
 
-    private fun head(vararg fields: String) = Case(listOf(sound) + fields + "", null)
+    private fun head(vararg fields: String, fault: String? = null) =
+        Case(listOf(sound) + fields + "", fault)
 
     private val heads = listOf(
         head(),
@@ -25,7 +28,19 @@
         Case(listOf("HTTP/2.0 200 OK"), statusLine),
         Case(listOf("http/1.1 200 OK"), statusLine),
         Case(listOf(" HTTP/1.1 200 OK"), statusLine),
-        Case(listOf("HTTP/1.1 200 O\u007fK"), statusLine)
+        Case(listOf("HTTP/1.1 200 O\u007fK"), statusLine),
+        head("!#$%&'*+-.^_`|~0Az:", "A:\tb \u00ff"),
+        head("A b: c", fault = name),
+        head("A : c", fault = name),
+        head(": c", fault = name),
+        head("A(: c", fault = name),
+        head("\u00e4: c", fault = name),
+        head("A\r: c", fault = name),
+        head("A: b\rc", fault = value),
+        head("A: \u007f", fault = value),
+        head("A: b", " c: d", fault = "a line of the head is folded"),
+        head("\tA: b", fault = "a line of the head is folded"),
+        head("A", fault = "a line of the head has no colon")
     )
 
     private val chunks = listOf(
@@ -36,7 +51,9 @@
         Case(listOf("0x3"), "the size of a chunk is malformed"),
         Case(listOf("-1"), "the size of a chunk is malformed"),
         Case(listOf("1".repeat(16)), "the size of a chunk is malformed"),
-        Case(listOf("3\r"), "the size of a chunk is malformed")
+        Case(listOf("3\r"), "the size of a chunk is malformed"),
+        Case(listOf("0", "A b: c"), name),
+        Case(listOf("0", "A: \u0000"), value)
     )
 
     /** Takes [lines], of which one is data where data is due, and returns the first fault. */
--- a/instance/src/test/kotlin/mustarddale/instance/http/ResponseSyntaxGuardTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/http/ResponseSyntaxGuardTest.kt
@@ -26,7 +26,7 @@
         val endsConnection: Boolean = false
     )
 
-    private val bad = "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nno"
+    private val bad = "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\nno"
     private val length = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nA\r\n\r"
     private val chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     private val chunks = "${chunked}3\r\nabc\r\n2;x=y\r\n\r\n\r\n0\r\nA: b\r\n\r\n"
@@ -45,9 +45,10 @@
         Case(bad, "!"),
         Case(length + bad + length, "200A\r\n\r.!"),
         Case(chunks + bad, "$chunksText!"),
-        Case("HTTP/1.1 099 x\r\nA: b\r\n\r\n$length", "!"),
+        Case("HTTP/1.1 103 x\r\nBad Name: b\r\n\r\n$length", "!"),
         Case("HTTP/1.1 000 OK\r\n\r\n", "!"),
         Case("\u0000$length", "!"),
+        Case("${chunked}3\r\nabc\r\n0\r\nBad Name: x\r\n\r\n$length", "200abc!"),
         Case("${chunked}3\r\nabcd\r\n0\r\n\r\n", "200abc!"),
         Case("${chunked}x\r\nabcd\r\n0\r\n\r\n", "200!"),
         Case("HTTP/1.1 200 OK\r\nA: ${"x".repeat(20_000)}\r\n\r\n", "!"),
