Refuse responses with a transfer coding that is not supported

Callers got the coded bytes of a response with "Transfer-Encoding: frobbed" (or gzip, identity) as its body, without the name of the coding; with "gzip, chunked" they got the compressed bytes without a word that they are compressed.

Cause: the codec asks only whether the codings contain "chunked" and otherwise takes the length or the end of the connection. The header belongs to one connection, so it is not passed on.

Change: the end of a head is a fault if its Transfer-Encoding fields name anything but "chunked" once (RFC 9112, 6.1 and 6.3). Empty elements of the list are allowed, as RFC 9110, 5.6.1 tells.

--- a/core/src/main/kotlin/mustarddale/serving/response/ResponseSyntax.kt
+++ b/core/src/main/kotlin/mustarddale/serving/response/ResponseSyntax.kt
@@ -34,6 +34,7 @@
     private enum class State { STATUS, FIELDS, HEAD_END, SIZE, CHUNK, CHUNK_END, TRAILERS, BODY }
 
     private var state = State.STATUS
+    private val codings = ArrayList<String>()
 
     /** What comes next; a head that has ended is followed by [beginBody]. */
     public var next: ResponsePart = ResponsePart.Line
@@ -48,7 +49,7 @@
     /** Takes the next [line], without its end; returns what is wrong with it, null if nothing. */
     public fun acceptLine(line: String): String? = when (state) {
         State.STATUS -> acceptStatusLine(line)
-        State.FIELDS -> if (line.isEmpty()) endHead() else FieldSyntax.faultOf(line)
+        State.FIELDS -> if (line.isEmpty()) endHead() else acceptField(line)
         State.SIZE -> acceptChunkSize(line)
         State.CHUNK_END -> acceptChunkEnd(line)
         State.TRAILERS -> if (line.isEmpty()) endResponse() else FieldSyntax.faultOf(line)
@@ -89,9 +90,19 @@
         return if (STATUS_LINE.matches(line)) null else "the status line is malformed"
     }
 
+    private fun acceptField(line: String): String? {
+        if (line.substringBefore(':').equals("transfer-encoding", ignoreCase = true)) {
+            codings += line.substringAfter(':').split(',').map { it.trim(' ', '\t') }
+        }
+        return FieldSyntax.faultOf(line)
+    }
+
     private fun endHead(): String? {
         state = State.HEAD_END
-        return null
+        val named = codings.filter { it.isNotEmpty() }
+        val isUnderstood = codings.isEmpty() || named.singleOrNull().equals("chunked", true)
+        codings.clear()
+        return if (isUnderstood) null else "the transfer coding is not supported"
     }
 
     private fun acceptChunkSize(line: String): String? {
--- a/core/src/test/kotlin/mustarddale/serving/response/ResponseSyntaxTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/response/ResponseSyntaxTest.kt
@@ -10,6 +10,7 @@
     private val statusLine = "the status line is malformed"
     private val name = "the name of a field is malformed"
     private val value = "the value of a field has a control character"
+    private val coding = "the transfer coding is not supported"
     private val sound = "HTTP/1.1 200 OK"
 
     private fun head(vararg fields: String, fault: String? = null) =
@@ -40,7 +41,13 @@
         head("A: \u007f", fault = value),
         head("A: b", " c: d", fault = "a line of the head is folded"),
         head("\tA: b", fault = "a line of the head is folded"),
-        head("A", fault = "a line of the head has no colon")
+        head("A", fault = "a line of the head has no colon"),
+        head("Transfer-Encoding: Chunked"),
+        head("transfer-encoding: ,\tchunked ,"),
+        head("Transfer-Encoding:", fault = coding),
+        head("Transfer-Encoding: gzip, chunked", fault = coding),
+        head("Transfer-Encoding: chunked", "Transfer-Encoding: chunked", fault = coding),
+        head("Transfer-Encoding: chunked;a=b", fault = coding)
     )
 
     private val chunks = listOf(
@@ -95,4 +102,12 @@
         syntax.beginBody(BodyEnd.Length(0))
         assertEquals(statusLine, syntax.acceptLine("garbage"))
     }
+
+    @Test
+    fun `a coding is no part of the next head`() {
+        val syntax = ResponseSyntax()
+        assertNull(syntax.accept(listOf(sound, "Transfer-Encoding: chunked", "")))
+        syntax.beginBody(BodyEnd.Length(0))
+        assertNull(syntax.accept(listOf(sound, "Transfer-Encoding: chunked", "")))
+    }
 }
