Guard the connections to the log, the instance list and the operator API

Appends to the log of `serve` were believed by "HTTP/1.1 0200 OK", under a malformed name and with an unknown transfer coding; so were reads, registrations and the list of instances. The command line read the operator API in the same way.

Cause: these clients took the factory of the HTTP library, whose connections nothing guards.

Change: they share a factory of BackendConnections with the library's usual settings, which also guards them against truncated responses.

Seen: MalformedAnswersTest, all clients of docs/PROTOCOLS.md. The command line's client has no test of its own for this.

--- a/cli/src/main/kotlin/mustarddale/cli/OperatorClient.kt
+++ b/cli/src/main/kotlin/mustarddale/cli/OperatorClient.kt
@@ -16,12 +16,14 @@
 import kotlinx.serialization.json.jsonPrimitive
 import mustarddale.config.ConfigurationChange
 import mustarddale.config.ConfigurationFormat
+import mustarddale.instance.http.BackendConnections
 import mustarddale.instance.operator.ChangeRequest
 import mustarddale.instance.operator.OperatorApi
 
 /** Calls the operator API at [url] as [operator], NAME:PASSWORD; exits if a call fails. */
 internal class OperatorClient(private val url: String, operator: String) {
     private val client = WebClient.builder(url)
+        .factory(BackendConnections.defaultFactory)
         .auth(AuthToken.ofBasic(operator.substringBefore(':'), operator.substringAfter(':', "")))
         .build()
 
--- a/instance/src/main/kotlin/mustarddale/instance/http/BackendConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/BackendConnections.kt
@@ -16,6 +16,9 @@
     private val guardKey = AttributeKey.valueOf<TruncationGuard>("truncation-guard")
     private val correlatorKey = AttributeKey.valueOf<ResponseCorrelator>("response-correlator")
 
+    /** The factory of clients without settings of their own; it is never closed. */
+    public val defaultFactory: ClientFactory by lazy { factoryBuilder().build() }
+
     /**
      * Returns a builder of factories whose clients never take a truncated response for whole, nor
      * a malformed one for an answer.
--- a/instance/src/main/kotlin/mustarddale/instance/log/HttpLogClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/log/HttpLogClient.kt
@@ -12,15 +12,18 @@
 import kotlinx.serialization.SerializationException
 import mustarddale.config.ConfigurationFormat
 import mustarddale.control.LogRecord
+import mustarddale.instance.http.BackendConnections
 
 /** A [LogClient] for the HTTP protocol in `docs/PROTOCOLS.md`. */
 public class HttpLogClient(url: String) : LogClient {
     private val reader = WebClient.builder(url)
+        .factory(BackendConnections.defaultFactory)
         .responseTimeoutMillis(READ_TIMEOUT_MILLIS)
         .maxResponseLength(MAX_RESPONSE_BYTES)
         .build()
 
     private val appender = WebClient.builder(url)
+        .factory(BackendConnections.defaultFactory)
         .responseTimeoutMillis(APPEND_TIMEOUT_MILLIS)
         .build()
 
--- a/instance/src/main/kotlin/mustarddale/instance/platform/InstanceList.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/platform/InstanceList.kt
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionException
 import kotlinx.serialization.Serializable
 import mustarddale.config.ConfigurationFormat
+import mustarddale.instance.http.BackendConnections
 
 /** Whether an instance accepts new requests. */
 @Serializable
@@ -33,7 +34,10 @@
 
 /** An [InstanceList] for the HTTP protocol in `docs/PROTOCOLS.md`. */
 public class HttpInstanceList(url: String) : InstanceList {
-    private val client = WebClient.builder(url).responseTimeoutMillis(TIMEOUT_MILLIS).build()
+    private val client = WebClient.builder(url)
+        .factory(BackendConnections.defaultFactory)
+        .responseTimeoutMillis(TIMEOUT_MILLIS)
+        .build()
 
     override fun register(instance: ListedInstance): Boolean = try {
         val json = ConfigurationFormat.json
