Take no status without a class for an answer of a route's server

A route's server that speaks HTTP/2 and sends the status 0, 99, 600 or 1000 had it recorded as the answer of a booking and passed on.

Cause: the decoder of HTTP/2 takes any number; ResponseSyntaxGuard stands on HTTP/1 connections only. HttpRouteClient is the one client that passes on whatever status it gets; the others ask for statuses that they know.

Change: such a response is an unknown outcome.

Seen: HttpRouteClientTest over HTTP/2 fails on the commit before ("0: Responded") and passes now; 200 and 599 arrive.

--- a/instance/src/main/kotlin/mustarddale/instance/caller/RouteClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/caller/RouteClient.kt
@@ -3,9 +3,11 @@
 import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpStatusClass
 import com.linecorp.armeria.common.RequestHeaders
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CancellationException
@@ -59,13 +61,7 @@
         val headers = RequestHeaders.builder(call.method, call.target)
         call.headers.forEach { headers.add(it.name.lowercase(), it.value) }
         val request = HttpRequest.of(headers.build(), HttpData.wrap(call.body))
-        val response = clientFor(server).execute(request).aggregate().await()
-        val fields = response.headers()
-            .filter { !it.key.startsWith(":") }
-            .map { HttpField(it.key.toString(), it.value) }
-        val forwarded = OutboundFilter.responseHeaders(fields)
-        val status = response.status().code()
-        RouteResult.Responded(RouteResponse(status, forwarded, response.content().array()))
+        resultOf(clientFor(server).execute(request).aggregate().await())
     } catch (e: CancellationException) {
         throw e
     } catch (e: UnprocessedRequestException) {
@@ -74,6 +70,21 @@
         RouteResult.Unknown(e.toString())
     }
 
+    private fun resultOf(response: AggregatedHttpResponse): RouteResult {
+        val status = response.status()
+        // HTTP/2 connections deliver any number.
+        if (status.codeClass() == HttpStatusClass.UNKNOWN) {
+            return RouteResult.Unknown("the status $status has no class")
+        }
+        val fields = response.headers()
+            .filter { !it.key.startsWith(":") }
+            .map { HttpField(it.key.toString(), it.value) }
+        val forwarded = OutboundFilter.responseHeaders(fields)
+        return RouteResult.Responded(
+            RouteResponse(status.code(), forwarded, response.content().array())
+        )
+    }
+
     private fun clientFor(server: BackendServer): WebClient = clients.computeIfAbsent(server.url) {
         WebClient.builder(it)
             .factory(factory)
--- a/instance/src/test/kotlin/mustarddale/instance/caller/HttpRouteClientTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/caller/HttpRouteClientTest.kt
@@ -1,7 +1,11 @@
 package mustarddale.instance.caller
 
 import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.server.Server
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import kotlin.concurrent.thread
@@ -36,15 +40,32 @@
         }
     }
 
+    @Test
+    fun `a status of no class is never an answer, on HTTP 2 connections neither`() {
+        listOf(0 to false, 99 to false, 200 to true, 599 to true, 600 to false, 1_000 to false)
+            .forEach { (status, isAnswer) ->
+                val server = Server.builder()
+                    .http(InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                    .service("prefix:/") { _, _ -> HttpResponse.of(HttpStatus.valueOf(status)) }
+                    .build()
+                server.start().join()
+                val result = send("h2c://127.0.0.1:${server.activeLocalPort()}")
+                server.stop().join()
+                assertEquals(isAnswer, result is RouteResult.Responded, "$status: $result")
+            }
+    }
+
     private fun answer(case: Case): RouteResult =
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
             thread { listener.accept().use { respond(it, case) } }
-            BackendConnections.factoryBuilder().build().use { factory ->
-                val server =
-                    BackendServer("o1", "office", "h1c://127.0.0.1:${listener.localPort}", "north")
-                val call = RouteCall(HttpMethod.POST, "/bookings", emptyList(), ByteArray(0))
-                runBlocking { HttpRouteClient(factory).send(server, call) }
-            }
+            send("h1c://127.0.0.1:${listener.localPort}")
+        }
+
+    private fun send(url: String): RouteResult =
+        BackendConnections.factoryBuilder().build().use { factory ->
+            val server = BackendServer("o1", "office", url, "north")
+            val call = RouteCall(HttpMethod.POST, "/bookings", emptyList(), ByteArray(0))
+            runBlocking { HttpRouteClient(factory).send(server, call) }
         }
 
     private fun respond(socket: Socket, case: Case) {
