Send a safe request to another server after a malformed answer

A safe request whose server gave a malformed answer failed with 502, although any server may run it again.

Cause: an unreadable head counts as bytes behind which the real answer may still come. A head that names the request due, and no other, is that answer.

Change: ResponseSyntaxGuard keeps the sound fields of a malformed head. If they name the request due alone, the matcher tells that it is answered, and an idempotent request goes on at another server within its retry budget. Requests that run once and streams end with 502 as before; so do all where the head names no request, or more than one, or arrives in parts before its id.

--- a/core/src/main/kotlin/mustarddale/serving/response/FieldSyntax.kt
+++ b/core/src/main/kotlin/mustarddale/serving/response/FieldSyntax.kt
@@ -1,14 +1,14 @@
 package mustarddale.serving.response
 
 /** The grammar of one line of a head or of trailers, a field, in RFC 9110 and 9112. */
-internal object FieldSyntax {
+public object FieldSyntax {
     /** A character of a value, a reason or an extension of a chunk, as a regular expression. */
-    const val TEXT = "[\t\\x20-\\x7e\\x80-\\xff]"
+    internal const val TEXT = "[\t\\x20-\\x7e\\x80-\\xff]"
 
     private const val TOKEN_MARKS = "!#$%&'*+-.^_`|~"
 
     /** Returns what is wrong with [line], whose characters are its bytes, null if nothing. */
-    fun faultOf(line: String): String? {
+    public fun faultOf(line: String): String? {
         val colon = line.indexOf(':')
         return when {
             line.isNotEmpty() && isBlank(line.first()) -> "a line of the head is folded"
--- a/core/src/main/kotlin/mustarddale/serving/response/ResponseMatcher.kt
+++ b/core/src/main/kotlin/mustarddale/serving/response/ResponseMatcher.kt
@@ -37,10 +37,12 @@
     public data object CutOff : ResponseVerdict
 
     /**
-     * It belongs to no known request, and the response due could not be told from what follows. The
-     * server may still answer the request that is due, if there is one.
+     * It is no response to a known request, and the response due could not be told from what
+     * follows. The server may still answer the request that is due, if there is one, unless this
+     * unreadable head names it alone and [isAnswered].
      */
-    public data class GiveUp(public val reason: String) : ResponseVerdict
+    public data class GiveUp(public val reason: String, public val isAnswered: Boolean = false) :
+        ResponseVerdict
 }
 
 /** Matches the responses on one connection, which has one request due at most. */
@@ -76,7 +78,8 @@
     public fun match(head: ObservedHead): ResponseVerdict = when {
         !isDue -> matchUnrequested(head)
         head.isCutOff -> matchCutOff(head)
-        !head.isReadable -> ResponseVerdict.GiveUp("the bytes are no response")
+        !head.isReadable ->
+            ResponseVerdict.GiveUp("the bytes are no response", isAnswered = namesOnlyDue(head))
         head.status == SWITCHING_PROTOCOLS -> ResponseVerdict.GiveUp("the protocol was switched")
         isInformational(head) -> ResponseVerdict.Skip
         head.ids.distinct().size > 1 -> ResponseVerdict.GiveUp("the head names two requests")
@@ -84,6 +87,9 @@
         else -> matchForeign(head)
     }
 
+    private fun namesOnlyDue(head: ObservedHead): Boolean =
+        dueId != null && head.ids.distinct() == listOf(dueId)
+
     private fun isInformational(head: ObservedHead): Boolean =
         head.status != null && head.status in INFORMATIONAL
 
--- a/core/src/test/kotlin/mustarddale/serving/response/ResponseMatcherTest.kt
+++ b/core/src/test/kotlin/mustarddale/serving/response/ResponseMatcherTest.kt
@@ -4,7 +4,7 @@
 import kotlin.test.assertEquals
 
 class ResponseMatcherTest {
-    private enum class Expected { OWN, SKIP, CUT_OFF, GIVE_UP }
+    private enum class Expected { OWN, SKIP, CUT_OFF, GIVE_UP, GIVE_UP_ANSWERED }
 
     private fun own(status: Int? = 200) = ObservedHead(listOf("due"), status)
 
@@ -15,11 +15,13 @@
         cases: List<Triple<String, ObservedHead, Expected>>
     ) {
         cases.forEach { (name, head, expected) ->
-            val actual = when (matcher.match(head)) {
+            val actual = when (val verdict = matcher.match(head)) {
                 ResponseVerdict.Own -> Expected.OWN
                 ResponseVerdict.Skip -> Expected.SKIP
                 ResponseVerdict.CutOff -> Expected.CUT_OFF
-                is ResponseVerdict.GiveUp -> Expected.GIVE_UP
+
+                is ResponseVerdict.GiveUp ->
+                    if (verdict.isAnswered) Expected.GIVE_UP_ANSWERED else Expected.GIVE_UP
             }
             assertEquals(expected, actual, name)
         }
@@ -46,6 +48,13 @@
                 Triple("endless", other().copy(hasMarkedEnd = false), Expected.GIVE_UP),
                 Triple("two heads", ObservedHead(listOf("earlier", "due"), 200), Expected.GIVE_UP),
                 Triple("no response", unreadable, Expected.GIVE_UP),
+                Triple("malformed", own().copy(isReadable = false), Expected.GIVE_UP_ANSWERED),
+                Triple("malformed earlier", other().copy(isReadable = false), Expected.GIVE_UP),
+                Triple(
+                    "two malformed heads",
+                    ObservedHead(listOf("earlier", "due"), null, isReadable = false),
+                    Expected.GIVE_UP
+                ),
                 Triple("cut off", unreadable.copy(isCutOff = true), Expected.CUT_OFF),
                 Triple(
                     "cut off failure",
@@ -83,6 +92,11 @@
             matcher,
             listOf(
                 Triple("names none", ObservedHead(emptyList(), 202), Expected.OWN),
+                Triple(
+                    "malformed",
+                    ObservedHead(emptyList(), null, isReadable = false),
+                    Expected.GIVE_UP
+                ),
                 Triple("names a request", other(), Expected.SKIP)
             )
         )
--- a/instance/src/main/kotlin/mustarddale/instance/http/BackendConnections.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/BackendConnections.kt
@@ -35,12 +35,9 @@
     /** Returns the framing of the latest response on [channel], null if it is not HTTP/1. */
     public fun framingOn(channel: Channel?): BodyFraming? = channel?.attr(guardKey)?.get()?.framing
 
-    /**
-     * Returns why the response due on [channel] could not be told from other bytes, null if it
-     * could; its server may still answer the request.
-     */
-    public fun givenUpReasonOn(channel: Channel?): String? =
-        channel?.attr(correlatorKey)?.get()?.givenUpReason
+    /** Returns the response due on [channel] that was given up, null if there is none. */
+    public fun givenUpOn(channel: Channel?): GivenUpResponse? =
+        channel?.attr(correlatorKey)?.get()?.givenUp
 
     /** Adds the handlers to each new HTTP/1 connection; HTTP/2 marks the end of each response. */
     private class HandlerInstaller(
--- a/instance/src/main/kotlin/mustarddale/instance/http/ResponseCorrelator.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/ResponseCorrelator.kt
@@ -33,6 +33,12 @@
     public val listener: UnmatchedResponseListener
 )
 
+/**
+ * A response that could not be told from other bytes. Its server may still answer the request,
+ * unless the bytes are a malformed answer to it and [isAnswered].
+ */
+public data class GivenUpResponse(public val reason: String, public val isAnswered: Boolean)
+
 /** Correlates the responses on one connection; runs on the connection's event loop. */
 internal class ResponseCorrelator(private val correlation: ResponseCorrelation) :
     ChannelDuplexHandler() {
@@ -46,11 +52,8 @@
     private var skippedBytes = 0L
     private var skippedTail = ""
 
-    /**
-     * Why the response due could not be told from other bytes, null if it could; its server may
-     * still answer the request.
-     */
-    var givenUpReason: String? = null
+    /** Why the response due could not be told from other bytes, null if it could. */
+    var givenUp: GivenUpResponse? = null
         private set
 
     override fun write(ctx: ChannelHandlerContext, msg: Any, promise: ChannelPromise) {
@@ -108,7 +111,7 @@
             is ResponseVerdict.GiveUp -> {
                 skippedHead = head
                 val fault = response.decoderResult().cause() as? ProtocolException
-                giveUp(ctx, fault?.message ?: verdict.reason)
+                giveUp(ctx, fault?.message ?: verdict.reason, verdict.isAnswered)
             }
         }
     }
@@ -161,10 +164,10 @@
     }
 
     /** Closes the connection, which fails the request that is due. */
-    private fun giveUp(ctx: ChannelHandlerContext, reason: String) {
+    private fun giveUp(ctx: ChannelHandlerContext, reason: String, isAnswered: Boolean = false) {
         mode = Mode.DISCARD
         val isDue = matcher.isDue
-        if (isDue) givenUpReason = reason
+        if (isDue) givenUp = GivenUpResponse(reason, isAnswered)
         report(ctx, if (isDue) UnmatchedKind.GIVEN_UP else UnmatchedKind.UNREQUESTED, reason)
         ctx.close()
     }
--- a/instance/src/main/kotlin/mustarddale/instance/http/ResponseSyntaxGuard.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/ResponseSyntaxGuard.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -21,6 +22,7 @@
 import io.netty.util.ReferenceCountUtil
 import java.net.ProtocolException
 import mustarddale.serving.response.BodyEnd
+import mustarddale.serving.response.FieldSyntax
 import mustarddale.serving.response.ResponsePart
 import mustarddale.serving.response.ResponseSyntax
 
@@ -30,6 +32,9 @@
     private val decoded = DecodedResponse()
     private var isDiscarding = false
 
+    /** The sound lines of the head that is arriving. */
+    private val headLines = ArrayList<String>()
+
     /** The beginning of a line whose end has not arrived. */
     private var partialLine = Unpooled.EMPTY_BUFFER
 
@@ -74,8 +79,10 @@
                     val lineFeed = input.indexOf(end, input.writerIndex(), LINE_FEED)
                     if (lineFeed < 0) break
                     val line = input.toString(end, lineFeed - end, Charsets.ISO_8859_1)
-                    fault = syntax.acceptLine(line.removeSuffix("\r"))
+                        .removeSuffix("\r")
+                    fault = syntax.acceptLine(line)
                     if (fault == null) end = lineFeed + 1
+                    if (fault == null && decoded.hasEnded) headLines += line
                 }
 
                 is ResponsePart.Bytes -> {
@@ -91,13 +98,18 @@
         pass(ctx, input, end)
         when {
             decoded.hasFailed -> isDiscarding = true
-            fault != null -> reject(ctx, fault)
-            syntax.isHeadEnd -> syntax.beginBody(decoded.bodyEnd)
-            !hasPart && !decoded.hasEnded -> reject(ctx, "the response has no end")
+            fault != null -> reject(ctx, input, fault)
+            syntax.isHeadEnd -> beginBody()
+            !hasPart && !decoded.hasEnded -> reject(ctx, input, "the response has no end")
             hasPart -> keepPartialLine(ctx, input)
         }
     }
 
+    private fun beginBody() {
+        headLines.clear()
+        syntax.beginBody(decoded.bodyEnd)
+    }
+
     private fun pass(ctx: ChannelHandlerContext, input: ByteBuf, end: Int) {
         val count = end - input.readerIndex()
         if (count > 0) ctx.fireChannelRead(input.readRetainedSlice(count))
@@ -105,25 +117,33 @@
 
     private fun keepPartialLine(ctx: ChannelHandlerContext, input: ByteBuf) {
         if (input.readableBytes() > MAX_LINE_BYTES) {
-            reject(ctx, "a line is longer than $MAX_LINE_BYTES bytes")
+            reject(ctx, input, "a line is longer than $MAX_LINE_BYTES bytes")
         } else {
             partialLine = input.readBytes(input.readableBytes())
         }
     }
 
-    /** Ends the response with a failure in place of what is malformed in it. */
-    private fun reject(ctx: ChannelHandlerContext, fault: String) {
+    /** Ends the response with a failure in place of the [rest], which is malformed. */
+    private fun reject(ctx: ChannelHandlerContext, rest: ByteBuf, fault: String) {
         isDiscarding = true
-        val end = if (decoded.hasEnded) {
-            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, UNKNOWN_STATUS)
-        } else {
-            DefaultLastHttpContent()
-        }
+        val end = if (decoded.hasEnded) failedHead(rest) else DefaultLastHttpContent()
         end.setDecoderResult(DecoderResult.failure(ProtocolException(fault)))
         ctx.fireChannelRead(end)
         ctx.close()
     }
 
+    /** Returns a head with the sound fields of the malformed one, as far as it has arrived. */
+    private fun failedHead(rest: ByteBuf): FullHttpResponse {
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, UNKNOWN_STATUS)
+        val wholeLines = rest.toString(Charsets.ISO_8859_1).substringBeforeLast('\n', "")
+        val restLines = wholeLines.splitToSequence('\n').map { it.removeSuffix("\r") }
+            .takeWhile { it.isNotEmpty() }
+        (headLines.asSequence() + restLines).filter { FieldSyntax.faultOf(it) == null }.forEach {
+            response.headers().add(it.substringBefore(':'), it.substringAfter(':').trim(' ', '\t'))
+        }
+        return response
+    }
+
     /** What the codec has decoded of the latest response. */
     private class DecodedResponse : ChannelInboundHandlerAdapter() {
         private var markedEnd: BodyEnd = BodyEnd.Connection
@@ -141,7 +161,7 @@
 
         override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
             if (msg is HttpObject && msg.decoderResult().isFailure) hasFailed = true
-            if (msg is HttpResponse) {
+            if (msg is HttpResponse && !hasFailed) {
                 hasEnded = false
                 markedEnd = markedEndOf(msg)
             }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/BackendClient.kt
@@ -55,12 +55,14 @@
 
     /**
      * The request may have run; no valid response arrived, because the connection was lost if
-     * [hasLostConnection]. The server may still answer it if [mayStillRespond].
+     * [hasLostConnection]. The server may still answer it if [mayStillRespond], and has given it a
+     * malformed answer, which may be a failure, if [isMalformed].
      */
     public data class OutcomeUnknown(
         public val reason: String,
         public val hasLostConnection: Boolean,
-        public val mayStillRespond: Boolean = false
+        public val mayStillRespond: Boolean = false,
+        public val isMalformed: Boolean = false
     ) : SendResult
 }
 
@@ -97,11 +99,12 @@
         } catch (e: Exception) {
             response.abort()
             val channel = captor.get().log().partial().channel()
-            val givenUpReason = BackendConnections.givenUpReasonOn(channel)
+            val givenUp = BackendConnections.givenUpOn(channel)
             SendResult.OutcomeUnknown(
-                givenUpReason ?: e.toString(),
-                hasLostConnection = givenUpReason == null,
-                mayStillRespond = givenUpReason != null
+                givenUp?.reason ?: e.toString(),
+                hasLostConnection = givenUp == null,
+                mayStillRespond = givenUp?.isAnswered == false,
+                isMalformed = givenUp?.isAnswered == true
             )
         }
     }
--- a/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/serving/forward/RequestForwarding.kt
@@ -255,8 +255,11 @@
             is SendResult.OutcomeUnknown -> {
                 possibleExecutions++
                 if (result.hasLostConnection) recordLost(backend)
-                // Another server's success must not replace a failure that is still to come.
-                if (result.mayStillRespond) {
+                // Another server's success must not replace a failure that is still to come, nor a
+                // malformed answer to a stream, which may be one.
+                val isFinal = result.mayStillRespond ||
+                    result.isMalformed && request.route.repeatability != Repeatability.IDEMPOTENT
+                if (isFinal) {
                     fail(result.reason)
                     AttemptResult(RequestOutcome.LOST, isFinal = true)
                 } else {
--- a/instance/src/test/kotlin/mustarddale/instance/http/ResponseCorrelatorTest.kt
+++ b/instance/src/test/kotlin/mustarddale/instance/http/ResponseCorrelatorTest.kt
@@ -123,7 +123,7 @@
             if (channel.isOpen) channel.receive(case.after.drop(split))
             if (case.endsConnection) runCatching { channel.close() }
         }
-        val result = if (correlator.givenUpReason != null) "failed" else passed(channel)
+        val result = if (correlator.givenUp != null) "failed" else passed(channel)
         assertEquals(case.expected, result, name)
         assertEquals(case.kinds, unmatched.map { it.kind }, name)
         channel.releaseOutbound()
