Split the check of response bytes into its parts

A head that is preceded by empty lines also kept one entry in memory for each of them, without bound; now only lines with text are kept.

--- a/instance/src/main/kotlin/mustarddale/instance/http/ResponseSyntaxGuard.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/ResponseSyntaxGuard.kt
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.util.ReferenceCountUtil
 import java.net.ProtocolException
 import mustarddale.serving.response.BodyEnd
 import mustarddale.serving.response.FieldSyntax
@@ -30,6 +29,9 @@
 internal class ResponseSyntaxGuard : ChannelInboundHandlerAdapter() {
     private val syntax = ResponseSyntax()
     private val decoded = DecodedResponse()
+
+    /** What is wrong with a response, null if nothing; no further one is read. */
+    private var fault: String? = null
     private var isDiscarding = false
 
     /** The sound lines of the head that is arriving. */
@@ -70,41 +72,55 @@
     /** Checks the [input] up to the end of a head or a response, and passes on what is sound. */
     private fun check(ctx: ChannelHandlerContext, input: ByteBuf) {
         var end = input.readerIndex()
-        var fault: String? = null
-        var hasPart = true
-        while (hasPart && fault == null && end < input.writerIndex()) {
-            val availableBytes = (input.writerIndex() - end).toLong()
-            when (val part = syntax.next) {
-                ResponsePart.Line -> {
-                    val lineFeed = input.indexOf(end, input.writerIndex(), LINE_FEED)
-                    if (lineFeed < 0) break
-                    val line = input.toString(end, lineFeed - end, Charsets.ISO_8859_1)
-                        .removeSuffix("\r")
-                    fault = syntax.acceptLine(line)
-                    if (fault == null) end = lineFeed + 1
-                    if (fault == null && decoded.hasEnded) headLines += line
-                }
-
-                is ResponsePart.Bytes -> {
-                    val count = minOf(part.count, availableBytes)
-                    syntax.acceptBytes(count)
-                    end += count.toInt()
-                }
-
-                ResponsePart.Rest -> end = input.writerIndex()
-            }
-            hasPart = !syntax.isHeadEnd && !syntax.isBetweenResponses
-        }
+        do {
+            val start = end
+            end = acceptPart(input, start)
+            val isAtBoundary = syntax.isHeadEnd || syntax.isBetweenResponses
+        } while (end > start && end < input.writerIndex() && !isAtBoundary)
         pass(ctx, input, end)
         when {
             decoded.hasFailed -> isDiscarding = true
-            fault != null -> reject(ctx, input, fault)
+
+            fault != null -> reject(ctx, input)
+
             syntax.isHeadEnd -> beginBody()
-            !hasPart && !decoded.hasEnded -> reject(ctx, input, "the response has no end")
-            hasPart -> keepPartialLine(ctx, input)
+
+            syntax.isBetweenResponses && !decoded.hasEnded -> {
+                fault = "the response has no end"
+                reject(ctx, input)
+            }
+
+            syntax.next == ResponsePart.Line -> keepPartialLine(ctx, input)
         }
     }
 
+    /** Returns where the next part ends in [input], [start] if it is malformed or has no end. */
+    private fun acceptPart(input: ByteBuf, start: Int): Int = when (val part = syntax.next) {
+        ResponsePart.Line -> acceptLine(input, start)
+
+        is ResponsePart.Bytes -> {
+            val count = minOf(part.count, (input.writerIndex() - start).toLong())
+            syntax.acceptBytes(count)
+            start + count.toInt()
+        }
+
+        ResponsePart.Rest -> input.writerIndex()
+    }
+
+    private fun acceptLine(input: ByteBuf, start: Int): Int {
+        val lineFeed = input.indexOf(start, input.writerIndex(), LINE_FEED)
+        if (lineFeed < 0) return start
+        val line = textOf(input, start, lineFeed).removeSuffix("\r")
+        fault = syntax.acceptLine(line)
+        if (fault != null) return start
+        val isOfHead = decoded.hasEnded
+        if (isOfHead && line.isNotEmpty()) headLines += line
+        return lineFeed + 1
+    }
+
+    private fun textOf(input: ByteBuf, start: Int, end: Int): String =
+        input.toString(start, end - start, Charsets.ISO_8859_1)
+
     private fun beginBody() {
         headLines.clear()
         syntax.beginBody(decoded.bodyEnd)
@@ -115,16 +131,19 @@
         if (count > 0) ctx.fireChannelRead(input.readRetainedSlice(count))
     }
 
+    /** Keeps the rest of [input] if it has no end of a line. */
     private fun keepPartialLine(ctx: ChannelHandlerContext, input: ByteBuf) {
+        if (input.indexOf(input.readerIndex(), input.writerIndex(), LINE_FEED) >= 0) return
         if (input.readableBytes() > MAX_LINE_BYTES) {
-            reject(ctx, input, "a line is longer than $MAX_LINE_BYTES bytes")
+            fault = "a line is longer than $MAX_LINE_BYTES bytes"
+            reject(ctx, input)
         } else {
             partialLine = input.readBytes(input.readableBytes())
         }
     }
 
-    /** Ends the response with a failure in place of the [rest], which is malformed. */
-    private fun reject(ctx: ChannelHandlerContext, rest: ByteBuf, fault: String) {
+    /** Ends the response with its [fault] in place of the [rest], and closes the connection. */
+    private fun reject(ctx: ChannelHandlerContext, rest: ByteBuf) {
         isDiscarding = true
         val end = if (decoded.hasEnded) failedHead(rest) else DefaultLastHttpContent()
         end.setDecoderResult(DecoderResult.failure(ProtocolException(fault)))
@@ -135,8 +154,10 @@
     /** Returns a head with the sound fields of the malformed one, as far as it has arrived. */
     private fun failedHead(rest: ByteBuf): FullHttpResponse {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, UNKNOWN_STATUS)
-        val wholeLines = rest.toString(Charsets.ISO_8859_1).substringBeforeLast('\n', "")
-        val restLines = wholeLines.splitToSequence('\n').map { it.removeSuffix("\r") }
+        val restLines = textOf(rest, rest.readerIndex(), rest.writerIndex())
+            .substringBeforeLast('\n', "")
+            .splitToSequence('\n')
+            .map { it.removeSuffix("\r") }
             .takeWhile { it.isNotEmpty() }
         (headLines.asSequence() + restLines).filter { FieldSyntax.faultOf(it) == null }.forEach {
             response.headers().add(it.substringBefore(':'), it.substringAfter(':').trim(' ', '\t'))
