--- a/cli/src/test/kotlin/mustarddale/cli/RepeatedResponsesProcessesTest.kt
+++ b/cli/src/test/kotlin/mustarddale/cli/RepeatedResponsesProcessesTest.kt
@@ -1,5 +1,6 @@
 /*
- * Tests instances in processes of their own before servers that write responses again. By hand,
+ * Tests instances in processes of their own before servers that write responses again, or malformed
+ * ones. By hand,
  * `-Danswers.program=JAR` names another build, `-Danswers.requests=N` the requests of each client
  * and `-Danswers.seed=N` the seed; each load prints a row of a table.
  */
@@ -58,6 +59,15 @@
         assertTrue(closed <= MAX_CLOSED_RATIO, "$closed closed, connections $connections")
     }
 
+    /** Guards against malformed responses that reach callers, and sound ones that are refused. */
+    @Test
+    fun `a malformed response reaches no caller, and each sound one does`() {
+        val paths = listOf("restream", "stream", "safe", "unsafe")
+        val played = play("malformed", ResponseMixes.MALFORMED, paths)
+        assertEquals(emptyList(), played.faults.take(5), "${played.faults.size} wrong")
+        assertEquals(0, played.lostSuccesses)
+    }
+
     private fun play(name: String, mix: ScriptMix, paths: List<String>): Played {
         val startNanos = System.nanoTime()
         val played = fleet.play(mix, SEED, CallerLoad(CLIENTS, REQUESTS, paths, ::keptOrClosed))
