Move the observer of decoded responses to a file of its own

Read of the change as a newcomer: DecodedResponse is a type of its own, and three comments say what they meant. No change of behaviour; ResponseSyntaxGuardTest, MalformedResponsesTest and CutHeadTest pass.

--- a/core/src/main/kotlin/mustarddale/serving/response/ResponseMatcher.kt
+++ b/core/src/main/kotlin/mustarddale/serving/response/ResponseMatcher.kt
@@ -38,8 +38,8 @@
 
     /**
      * It is no response to a known request, and the response due could not be told from what
-     * follows. The server may still answer the request that is due, if there is one, unless this
-     * unreadable head names it alone and [isAnswered].
+     * follows. The server may still answer the request that is due, if there is one; it has
+     * answered it with an unreadable head if [isAnswered].
      */
     public data class GiveUp(public val reason: String, public val isAnswered: Boolean = false) :
         ResponseVerdict
--- a/core/src/main/kotlin/mustarddale/serving/response/ResponseSyntax.kt
+++ b/core/src/main/kotlin/mustarddale/serving/response/ResponseSyntax.kt
@@ -17,7 +17,7 @@
     public data object Rest : ResponsePart
 }
 
-/** How a body ends, of which the head and the request decide. */
+/** How the body of a response ends, which its head and the request decide. */
 public sealed interface BodyEnd {
     /** Behind [bytes] bytes, 0 for a response without a body. */
     public data class Length(public val bytes: Long) : BodyEnd
--- a/instance/src/main/kotlin/mustarddale/instance/http/ResponseSyntaxGuard.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/http/ResponseSyntaxGuard.kt
@@ -13,14 +13,9 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpObject
-import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
 import java.net.ProtocolException
-import mustarddale.serving.response.BodyEnd
 import mustarddale.serving.response.FieldSyntax
 import mustarddale.serving.response.ResponsePart
 import mustarddale.serving.response.ResponseSyntax
@@ -113,8 +108,8 @@
         val line = textOf(input, start, lineFeed).removeSuffix("\r")
         fault = syntax.acceptLine(line)
         if (fault != null) return start
-        val isOfHead = decoded.hasEnded
-        if (isOfHead && line.isNotEmpty()) headLines += line
+        // While no response is under way, a line with text is one of a head.
+        if (decoded.hasEnded && line.isNotEmpty()) headLines += line
         return lineFeed + 1
     }
 
@@ -165,38 +160,6 @@
         return response
     }
 
-    /** What the codec has decoded of the latest response. */
-    private class DecodedResponse : ChannelInboundHandlerAdapter() {
-        private var markedEnd: BodyEnd = BodyEnd.Connection
-
-        /** Whether no response is under way. */
-        var hasEnded = true
-            private set
-
-        /** Whether the codec has failed, after which it takes no more responses. */
-        var hasFailed = false
-            private set
-
-        /** The end of the body; the codec knows which responses have none. */
-        val bodyEnd: BodyEnd get() = if (hasEnded) BodyEnd.Length(0) else markedEnd
-
-        override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
-            if (msg is HttpObject && msg.decoderResult().isFailure) hasFailed = true
-            if (msg is HttpResponse && !hasFailed) {
-                hasEnded = false
-                markedEnd = markedEndOf(msg)
-            }
-            if (msg is LastHttpContent) hasEnded = true
-            ctx.fireChannelRead(msg)
-        }
-
-        private fun markedEndOf(response: HttpResponse): BodyEnd = when (BodyFraming.of(response)) {
-            BodyFraming.LENGTH -> BodyEnd.Length(HttpUtil.getContentLength(response, 0L))
-            BodyFraming.CHUNKS -> BodyEnd.LastChunk
-            BodyFraming.CONNECTION_CLOSE -> BodyEnd.Connection
-        }
-    }
-
     private companion object {
         const val LINE_FEED = '\n'.code.toByte()
 
