Read load reports of engines only from a success

An engine of `serve` that answered /v1/load with the status 0, 99, 404, 500 or 600 had the body of that response read as its load report.

Cause: fetchReport never asked for the status. HTTP/1 connections refuse numbers of no class, HTTP/2 ones do not.

Change: only a 200 holds a report.

Seen: HttpEngineClientTest over HTTP/2 fails on the commit before ("status 0") and passes now; a 200 is read in both.

--- a/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
+++ b/instance/src/main/kotlin/mustarddale/instance/engine/HttpEngineClient.kt
@@ -50,7 +50,9 @@
             .execute()
             .aggregate()
             .await()
-        json.decodeFromString(LoadBody.serializer(), response.contentUtf8()).toReport(server.name)
+        response.takeIf { it.status() == HttpStatus.OK }?.let {
+            json.decodeFromString(LoadBody.serializer(), it.contentUtf8()).toReport(server.name)
+        }
     } catch (e: CancellationException) {
         throw e
     } catch (_: Exception) {
