--- a/review/standin-2/Engine.java
+++ b/review/standin-2/Engine.java
@@ -92,6 +92,7 @@
             connection.answer(409, headers, new byte[0]);
             return;
         }
+        if (answers(request, connection)) return;
         listener.onRequest(this, request);
         running.incrementAndGet();
         try {
@@ -110,6 +111,12 @@
         }
     }
 
+    /** Whether a subclass has answered the request in its own way. */
+    boolean answers(HttpPort.Request request, HttpPort.Connection connection)
+        throws IOException {
+        return false;
+    }
+
     private void writeEvents(HttpPort.Request request, HttpPort.Connection connection,
         Map<String, String> headers) throws IOException, InterruptedException {
         headers.put("Content-Type", "text/event-stream");
