--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -211,6 +211,18 @@
             return HttpPort.line(in);
         }
 
+        /** Waits until the connection has ended, or for the given time. */
+        void awaitEnd(int millis) throws IOException {
+            socket.setSoTimeout(millis);
+            try {
+                while (in.read() >= 0) {
+                    // What else is answered doesn't matter.
+                }
+            } catch (java.net.SocketTimeoutException e) {
+                // It is kept open.
+            }
+        }
+
         @Override
         public void close() throws IOException {
             socket.close();
