--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -170,6 +170,10 @@
             }
         }
 
+        boolean isAlive() {
+            return process.isAlive();
+        }
+
         void kill() {
             process.destroyForcibly();
             try {
