--- a/review/standin-2/ChunkScript.java
+++ b/review/standin-2/ChunkScript.java
@@ -53,7 +53,7 @@
         lab.store.put("keyed.op", "config", CONFIGURATION.replace("\n", ""));
         for (int i = 1; i <= ENGINES; i++) {
             boolean isBad = i == 1;
-            new Engine(lab.store, "desk", "e" + i, "v1", 64, "[]", 20, (engine, request) -> { }) {
+            new Engine(lab.store, "desk", "e" + i, "v1", 64, "[]", 20, this::onRequest) {
                 @Override
                 boolean answers(HttpPort.Request request, HttpPort.Connection connection)
                     throws IOException {
@@ -94,8 +94,13 @@
         return late.get() >= 8 && late.get() * 4 > lasting.get();
     }
 
+    private void onRequest(Engine engine, HttpPort.Request request) {
+        lab.log(engine.id + " runs " + request.header("request-id"));
+    }
+
     private void writeWithoutEnd(HttpPort.Request request, HttpPort.Connection connection,
         String id) throws IOException {
+        lab.log(id + " runs " + request.header("request-id") + ", a body without end");
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Request-Id", request.header("request-id"));
         headers.put("Server-Stamp", id + ".0" + spoilt.incrementAndGet());
@@ -111,6 +116,7 @@
         String id = "c" + number.incrementAndGet();
         long sentMillis = Lab.nowMillis();
         begun.incrementAndGet();
+        lab.log(id + " is sent to " + instance.name);
         Thread watch = Lab.thread(() -> watch(id, instance, sentMillis));
         String end = "closed";
         try (Socket socket = new Socket()) {
@@ -126,9 +132,7 @@
         watch.interrupt();
         long tookMillis = Lab.nowMillis() - sentMillis;
         if (end.equals("200")) served.incrementAndGet();
-        if (!end.equals("200") || tookMillis > TIMEOUT_MILLIS) {
-            lab.log(id + " at " + instance.name + " ended after " + tookMillis + " ms: " + end);
-        }
+        lab.log(id + " at " + instance.name + " ended after " + tookMillis + " ms: " + end);
     }
 
     /** Counts a request that lasts longer than its route allows. */
--- a/review/standin-2/FramingScript.java
+++ b/review/standin-2/FramingScript.java
@@ -86,6 +86,7 @@
         if (!fields.startsWith("Transfer-Encoding")) {
             fields += "Content-Length: " + body.length() + "\r\n";
         }
+        lab.log(id + " is sent to " + instance.name + " with " + body.length() + " bytes");
         try (Lab.Client client = new Lab.Client(instance.front)) {
             client.send("POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + id
                 + "\r\nDeadline-Ms: 2000\r\nAuthorization: Bearer key1\r\n" + fields + "\r\n"
--- a/review/standin-2/HalfRequestScript.java
+++ b/review/standin-2/HalfRequestScript.java
@@ -51,7 +51,7 @@
         lab.store.put("keyed.op", "config", CONFIGURATION.replace("\n", ""));
         for (String id : List.of("e1", "e2")) {
             new Engine(lab.store, "desk", id, "v1", 64, "[]", 1_500,
-                (engine, request) -> run.add(request.header("request-id")));
+                this::onRequest);
         }
         for (String name : List.of("m1", "m2")) lab.startInstance(name);
         for (Lab.Instance instance : lab.instances) instance.awaitReady();
@@ -79,6 +79,11 @@
         return lost.get() > ALLOWED_LOST;
     }
 
+    private void onRequest(Engine engine, HttpPort.Request request) {
+        run.add(request.header("request-id"));
+        lab.log(engine.id + " runs " + request.header("request-id"));
+    }
+
     /** Books on kept connections until the script is over. */
     private void book(Lab.Instance instance) throws InterruptedException {
         while (!isOver) {
@@ -87,9 +92,11 @@
             try (Lab.Client client = new Lab.Client(instance.front)) {
                 while (!isOver) {
                     id = "b" + number.incrementAndGet();
+                    lab.log(id + " is sent to " + instance.name);
                     client.send("POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + id
                         + "\r\nDeadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody");
                     Lab.Answer answer = client.readAnswer();
+                    lab.log(id + " is answered " + answer.status());
                     if (answer.status() == 200) served.incrementAndGet();
                     count++;
                     if ("close".equals(answer.headers().get("connection"))) break;
--- a/review/standin-2/StreamScript.java
+++ b/review/standin-2/StreamScript.java
@@ -119,6 +119,7 @@
         String id = path + number.incrementAndGet();
         Set<String> seen = new TreeSet<>();
         if (isRecorded) versions.put(id, seen);
+        if (isRecorded) lab.log(id + " is sent to " + instance.name);
         try (Lab.Client client = new Lab.Client(instance.front)) {
             client.send("POST /report/" + path + " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: "
                 + id + "\r\nDeadline-Ms: 20000\r\nAuthorization: Bearer key1\r\nModel: m\r\n"
