--- a/review/standin-3/DrainScript.java
+++ b/review/standin-3/DrainScript.java
@@ -21,7 +21,7 @@
         "ratePerS":200000,"burst":200000}]}""";
     private static final AtomicInteger REQUESTS = new AtomicInteger();
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) {
         Lab.run(args[0], DrainScript::run);
     }
 
--- a/review/standin-3/Http.java
+++ b/review/standin-3/Http.java
@@ -231,6 +231,11 @@
             } catch (IOException e) {
                 // It is closed already.
             }
+            resetAll();
+        }
+
+        /** Resets all connections. */
+        void resetAll() {
             List<Connection> all;
             synchronized (open) {
                 all = new ArrayList<>(open);
--- a/review/standin-3/Streams.java
+++ b/review/standin-3/Streams.java
@@ -34,8 +34,17 @@
         this.deadlineMs = deadlineMs;
     }
 
-    /** The operator's configuration: one route of resumable streams, one service of engines. */
-    static String config(int slots, int targetMs) {
+    /**
+     * The operator's configuration: one route of resumable streams, and one service of engines
+     * with {@code memoryMb} for {@code models}, each of 65 GB.
+     */
+    static String config(int slots, int targetMs, int memoryMb, String... models) {
+        StringBuilder list = new StringBuilder();
+        for (String model : models) {
+            list.append(list.length() == 0 ? "" : ",").append("{\"name\":\"").append(model)
+                .append("\",\"weightsMb\":65100.0,\"loadS\":1.2,\"adapters\":0,")
+                .append("\"adapterMb\":12.0,\"warmS\":0.4,\"diskS\":0.8}");
+        }
         return """
             {"version":1,"routes":[{"name":"batch","host":"yard.example","pathPrefix":"/batch/",
             "kind":"stream","timeoutMs":20000,"targetLatencyMs":TARGET,"priority":1,
@@ -43,13 +52,16 @@
             "resumable":true,"gapAimMs":200}],"services":[{"name":"assistant",
             "healthPath":"/health","maxConnections":370,"protocol":"h1","tls":false,
             "coldStartS":0.0,"coldPerS":0.0,"engine":{"slots":SLOTS,"kvTokens":125650,
-            "weightsMb":220000.0,"adapterSlots":8,"hostMb":150000.0,"diskMb":440000.0,
-            "loadsPerS":1.6,"models":[{"name":"m6","weightsMb":65100.0,"loadS":1.2,"adapters":0,
-            "adapterMb":12.0,"warmS":0.4,"diskS":0.8}]}}],"limits":{"maxHeaderBytes":16384,
+            "weightsMb":MEMORY,"adapterSlots":8,"hostMb":150000.0,"diskMb":440000.0,
+            "loadsPerS":1.6,"models":[MODELS]}}],"limits":{"maxHeaderBytes":16384,
             "maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
             "tenants":[{"name":"yard","apiKeys":["key-1"],"priority":1,"unit":"tokens",
             "plainTokens":200,"ratePerS":200000,"burst":200000}]}"""
-            .replace("\n", "").replace("TARGET", "" + targetMs).replace("SLOTS", "" + slots);
+            .replace("\n", "")
+            .replace("TARGET", "" + targetMs)
+            .replace("SLOTS", "" + slots)
+            .replace("MEMORY", "" + memoryMb)
+            .replace("MODELS", list);
     }
 
     /** Starts a client; its tries go to {@code instances} in turn, later ones to the last. */
--- a/review/standin-3/VersionScript.java
+++ b/review/standin-3/VersionScript.java
@@ -1,4 +1,3 @@
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -14,12 +13,12 @@
     private static final int EVENTS = 60;
     private static final int LOAD_MS = 1_200;
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) {
         Lab.run(args[0], VersionScript::run);
     }
 
     private static int run(Lab lab) throws Exception {
-        lab.store.put("keyed.op", "config", Streams.config(SLOTS, 5_000));
+        lab.store.put("keyed.op", "config", Streams.config(SLOTS, 5_000, 220_000, "m6"));
         new Engine(lab, "i-first", "v1", "taupo", SLOTS, QUEUE, EVENT_MS, LOAD_MS, "m6");
         // The first one becomes the leader, which is not the one that is killed.
         Lab.Instance b = lab.new Instance("front-b", "127.0.0.12", "taupo");
