--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,8 @@
 #!/bin/sh
-# Many half requests on a few connections end a process.
-# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/mustarddale ] && [ -f target/review-2/HalfRequestScript.class ] || exit 2
-exec java -Xmx512m -cp target/review-2 HalfRequestScript review/6
+if [ ! -f target/review-3/VersionScript.class ] || [ ! -f target/mustarddale ]; then
+    echo "run the build of the deploy file and review/build-2.sh first" >&2
+    exit 2
+fi
+exec java -cp target/review-3 VersionScript review/11/record.txt
