--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
     echo "run the build of the deploy file and review/build-2.sh first" >&2
     exit 2
 fi
-exec java -cp target/review-3 VersionScript review/11/record.txt
+exec java -cp target/review-3 VersionScript review/6/record.txt
--- a/review/standin-3/Engine.java
+++ b/review/standin-3/Engine.java
@@ -21,13 +21,11 @@
     private final int loadMs;
     private final TreeSet<String> models = new TreeSet<>();
     private final Http.Server server;
-    private final Gate gate;
     private int running;
     private int waiting;
     private int orders;
     private long highestFence = Long.MIN_VALUE;
     private boolean isBusy;
-    private volatile String state = "ready";
     private volatile boolean isClosed;
 
     Engine(Lab lab, String id, String version, String zone, int slots, int queue, int eventMs,
@@ -43,23 +41,10 @@
         this.loadMs = loadMs;
         models.addAll(List.of(held));
         server = new Http.Server("127.0.0.1", this::handle);
-        gate = new Gate(server.address());
         Http.daemon(id, this::beat);
         lab.say(id + " (" + version + ") started, holds " + models);
     }
 
-    /** The proxy through which the instances reach the engine. */
-    Gate gate() {
-        return gate;
-    }
-
-    /** Says in the store that the engine leaves; it serves on. */
-    void drain() {
-        state = "draining";
-        publish();
-        lab.say(id + " drains");
-    }
-
     private void beat() {
         while (!isClosed) {
             publish();
@@ -69,8 +54,8 @@
 
     private synchronized void publish() {
         lab.store.put("keyed.servers", id, "{\"service\":\"" + service + "\",\"address\":\""
-            + gate.address() + "\",\"zone\":\"" + zone + "\",\"version\":\"" + version
-            + "\",\"slots\":" + slots + ",\"state\":\"" + state + "\",\"coldMs\":0,\"models\":"
+            + server.address() + "\",\"zone\":\"" + zone + "\",\"version\":\"" + version
+            + "\",\"slots\":" + slots + ",\"state\":\"ready\",\"coldMs\":0,\"models\":"
             + modelList() + ",\"seq\":" + orders + "}");
     }
 
@@ -199,7 +184,6 @@
     @Override
     public void close() {
         isClosed = true;
-        gate.close();
         server.close();
     }
 }
--- a/review/standin-3/Http.java
+++ b/review/standin-3/Http.java
@@ -162,11 +162,6 @@
         boolean handle(Connection connection, Head head) throws Exception;
     }
 
-    interface RawHandler {
-        /** Serves a whole connection. */
-        void handle(Connection connection) throws Exception;
-    }
-
     /** A server on a free port of a loopback address. */
     static final class Server implements AutoCloseable {
         private final ServerSocket listener;
@@ -174,20 +169,6 @@
         private volatile boolean isClosed;
 
         Server(String host, Handler handler) throws IOException {
-            this(host, (RawHandler) connection -> {
-                while (true) {
-                    Head head = connection.readHead();
-                    if (head == null || !handler.handle(connection, head)) return;
-                }
-            });
-        }
-
-        /** Returns a server whose connections are not parsed. */
-        static Server raw(String host, RawHandler handler) throws IOException {
-            return new Server(host, handler);
-        }
-
-        private Server(String host, RawHandler handler) throws IOException {
             listener = new ServerSocket(0, 200, InetAddress.getByName(host));
             daemon("accept", () -> accept(handler));
         }
@@ -196,7 +177,7 @@
             return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
         }
 
-        private void accept(RawHandler handler) {
+        private void accept(Handler handler) {
             while (!isClosed) {
                 try {
                     Connection connection = new Connection(listener.accept());
@@ -210,9 +191,12 @@
             }
         }
 
-        private void serve(Connection connection, RawHandler handler) {
+        private void serve(Connection connection, Handler handler) {
             try (connection) {
-                handler.handle(connection);
+                while (true) {
+                    Head head = connection.readHead();
+                    if (head == null || !handler.handle(connection, head)) return;
+                }
             } catch (Exception e) {
                 // The other side has gone.
             } finally {
--- a/review/standin-3/Lab.java
+++ b/review/standin-3/Lab.java
@@ -110,16 +110,6 @@
             process.destroyForcibly();
             say(name + " killed (SIGKILL)");
         }
-
-        /** Sends the signal {@code name} to the process. */
-        void signal(String signal) throws Exception {
-            say(name + ": SIG" + signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-        }
-
-        long pid() {
-            return process.pid();
-        }
     }
 
     private static List<String> command() throws IOException {
--- a/review/standin-3/Store.java
+++ b/review/standin-3/Store.java
@@ -39,13 +39,6 @@
         notifyAll();
     }
 
-    /** Deletes all records of a topic; the newest of each key stays readable by its key. */
-    synchronized void forgetHistory(String topic) {
-        Topic kept = topicOf(topic);
-        kept.first = kept.records.size();
-        notifyAll();
-    }
-
     private Topic topicOf(String name) {
         return topics.computeIfAbsent(name, x -> new Topic());
     }
