--- a/review/standin-3/Lab.java
+++ b/review/standin-3/Lab.java
@@ -60,6 +60,10 @@
         private final Process process;
 
         Instance(String name, String host, String zone) throws IOException {
+            this(name, host, zone, store.address());
+        }
+
+        Instance(String name, String host, String zone, String storeAddress) throws IOException {
             this.name = name;
             this.host = host;
             front = new InetSocketAddress(host, freePort(host));
@@ -76,7 +80,7 @@
                 + "\"drainMs\":2000,\"graceS\":8,\"configApplyMs\":2000,\"retryBudgetRatio\":0.2,"
                 + "\"budgetWindowS\":10,\"budgetSlack\":56,\"quotaWindowS\":8,\"quotaOver\":0.1,"
                 + "\"quotaSlack\":7400,\"requireFence\":true,\"leaseMs\":3000},\"platform\":{"
-                + "\"address\":\"" + store.address() + "\"}}");
+                + "\"address\":\"" + storeAddress + "\"}}");
             ProcessBuilder builder = new ProcessBuilder(command());
             builder.environment().put("MUSTARDDALE_CONFIG", settings.toString());
             builder.redirectErrorStream(true);
@@ -90,21 +94,26 @@
         void awaitReady() {
             for (int i = 0; i < 400; i++) {
                 if (!process.isAlive()) throw new IllegalStateException(name + " has ended");
-                try (Http.Connection connection = Http.Connection.to(ready)) {
-                    connection.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
-                    Http.Head head = connection.readHead();
-                    if (head != null && head.status() == 200) {
-                        say(name + " is ready");
-                        return;
-                    }
-                } catch (IOException e) {
-                    // It does not listen yet.
+                if (isReady()) {
+                    say(name + " is ready");
+                    return;
                 }
                 sleep(50);
             }
             throw new IllegalStateException(name + " is not ready");
         }
 
+        /** Whether the instance says that it is ready. */
+        boolean isReady() {
+            try (Http.Connection connection = Http.Connection.to(ready)) {
+                connection.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+                Http.Head head = connection.readHead();
+                return head != null && head.status() == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
         /** Kills the process with SIGKILL. */
         void kill() {
             process.destroyForcibly();
--- a/review/standin-3/Store.java
+++ b/review/standin-3/Store.java
@@ -20,9 +20,36 @@
 
     private final Map<String, Topic> topics = new HashMap<>();
     private final Http.Server server;
+    private final Http.Server limited;
+    private volatile boolean isSilent;
 
     Store() throws IOException {
         server = new Http.Server("127.0.0.1", this::handle);
+        limited = new Http.Server("127.0.0.1", this::handleLimited);
+    }
+
+    /** The address at which the store can fall silent for one instance. */
+    String limitedAddress() {
+        return limited.address();
+    }
+
+    /** Leaves all calls at the limited address unanswered, also those under way, or answers again. */
+    void setSilent(boolean silent) {
+        isSilent = silent;
+    }
+
+    private boolean handleLimited(Http.Connection connection, Http.Head head) throws Exception {
+        byte[] body = connection.readBody(head);
+        if (!isSilent) {
+            byte[] answer = answer(head, body);
+            if (!isSilent) {
+                connection.out.write(answer);
+                connection.out.flush();
+                return true;
+            }
+        }
+        while (isSilent) Lab.sleep(100);
+        return false;
     }
 
     String address() {
@@ -44,18 +71,20 @@
     }
 
     private boolean handle(Http.Connection connection, Http.Head head) throws Exception {
-        byte[] body = connection.readBody(head);
+        connection.out.write(answer(head, connection.readBody(head)));
+        connection.out.flush();
+        return true;
+    }
+
+    private byte[] answer(Http.Head head, byte[] body) throws Exception {
         String[] target = head.target().split("\\?", 2);
         Map<String, String> query = parse(target.length > 1 ? target[1] : "");
-        byte[] answer = switch (target[0]) {
+        return switch (target[0]) {
             case "/log-append" -> append(query, body);
             case "/log-read" -> read(query);
             case "/log-newest" -> newest(query);
             default -> json(404, "{}");
         };
-        connection.out.write(answer);
-        connection.out.flush();
-        return true;
     }
 
     private static Map<String, String> parse(String query) {
@@ -139,5 +168,6 @@
     @Override
     public void close() {
         server.close();
+        limited.close();
     }
 }
--- a/review/standin-3/Streams.java
+++ b/review/standin-3/Streams.java
@@ -1,8 +1,10 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** The clients of resumable streams, which take up a stream whose connection is lost. */
@@ -27,6 +29,7 @@
     private final int events;
     private final int deadlineMs;
     private final List<Stream> streams = new ArrayList<>();
+    private final Map<Http.Connection, Lab.Instance> open = new ConcurrentHashMap<>();
 
     Streams(Lab lab, int events, int deadlineMs) {
         this.lab = lab;
@@ -56,7 +59,7 @@
             "loadsPerS":1.6,"models":[MODELS]}}],"limits":{"maxHeaderBytes":16384,
             "maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
             "tenants":[{"name":"yard","apiKeys":["key-1"],"priority":1,"unit":"tokens",
-            "plainTokens":200,"ratePerS":200000,"burst":200000}]}"""
+            "plainTokens":200,"ratePerS":900000,"burst":900000}]}"""
             .replace("\n", "")
             .replace("TARGET", "" + targetMs)
             .replace("SLOTS", "" + slots)
@@ -89,7 +92,10 @@
         }
         lab.say(stream.name + " sends " + request + " to " + target.name
             + (resumes.isEmpty() ? "" : " to go on after event " + stream.lastEvent));
+        Http.Connection opened = null;
         try (Http.Connection connection = Http.Connection.to(target.front)) {
+            opened = connection;
+            open.put(connection, target);
             String body = "{\"prompt\":\"" + stream.name + "\"}";
             connection.send("POST /batch/2f HTTP/1.1\r\nHost: yard.example\r\nRequest-Id: "
                 + request + "\r\nModel: m6\r\nToken-Count: 700," + events * 7
@@ -108,10 +114,23 @@
             readEvents(connection, stream, request);
         } catch (IOException e) {
             lab.say(stream.name + " loses its connection after event " + stream.lastEvent);
+        } finally {
+            if (opened != null) open.remove(opened);
         }
         return 0;
     }
 
+    /** Resets every second connection of the clients to {@code instance}. */
+    void resetConnections(Lab.Instance instance) {
+        List<Http.Connection> connections = new ArrayList<>();
+        open.forEach((connection, target) -> {
+            if (target == instance) connections.add(connection);
+        });
+        for (int i = 0; i < connections.size(); i += 2) connections.get(i).reset();
+        lab.say((connections.size() + 1) / 2 + " of " + connections.size()
+            + " connections of clients to " + instance.name + " are reset");
+    }
+
     private void readEvents(Http.Connection connection, Stream stream, String request)
             throws IOException {
         StringBuilder text = new StringBuilder();
