Review: case 7 stays inside the length that the site file gives

Cause: the case had the store silent for the leader for 9 s; the site files give 7.0 s for silence at the leader.

--- a/review/standin-3/CutOffScript.java
+++ b/review/standin-3/CutOffScript.java
@@ -2,10 +2,10 @@
 import java.util.List;
 
 /**
- * The store is silent for the instance that leads, which goes on serving with what it knows; another
+ * The store is busy for the instance that leads, which goes on serving with what it knows; another
  * one becomes the leader. A release begins, and streams start at the new software version. Half of
  * the clients' connections to one instance are reset, and they take their streams up at the one
- * that the store doesn't answer.
+ * that the store turns away.
  */
 final class CutOffScript {
     private static final int SLOTS = 32;
@@ -35,8 +35,8 @@
         Streams streams = new Streams(lab, EVENTS, 20_000);
         List<Thread> clients = new ArrayList<>();
         if (lab.hasTrouble) {
-            lab.store.setSilent(true);
-            lab.say("the store is silent for " + cutOff.name);
+            lab.store.setBusy(true);
+            lab.say("the store answers " + cutOff.name + " with 503");
         }
         for (int i = 0; i < 48; i++) {
             clients.add(streams.start("early-" + i, List.of(a, cutOff)));
@@ -51,9 +51,9 @@
         if (!cutOff.isReady()) throw new IllegalStateException(cutOff.name + " is not ready");
         lab.say(cutOff.name + " is ready");
         streams.resetConnections(a);
-        Lab.sleep(400);
-        lab.store.setSilent(false);
-        if (lab.hasTrouble) lab.say("the store answers " + cutOff.name + " again");
+        Lab.sleep(200);
+        lab.store.setBusy(false);
+        if (lab.hasTrouble) lab.say("the store serves " + cutOff.name + " again");
         for (Thread client : clients) client.join(40_000);
         return streams.verdict();
     }
--- a/review/standin-3/Store.java
+++ b/review/standin-3/Store.java
@@ -21,35 +21,31 @@
     private final Map<String, Topic> topics = new HashMap<>();
     private final Http.Server server;
     private final Http.Server limited;
-    private volatile boolean isSilent;
+    private volatile boolean isBusy;
 
     Store() throws IOException {
         server = new Http.Server("127.0.0.1", this::handle);
         limited = new Http.Server("127.0.0.1", this::handleLimited);
     }
 
-    /** The address at which the store can fall silent for one instance. */
+    /** The address at which the store can turn one instance away. */
     String limitedAddress() {
         return limited.address();
     }
 
-    /** Leaves all calls at the limited address unanswered, also those under way, or answers again. */
-    void setSilent(boolean silent) {
-        isSilent = silent;
+    /** Answers all calls at the limited address with 503 from now on, or serves them again. */
+    void setBusy(boolean busy) {
+        isBusy = busy;
     }
 
     private boolean handleLimited(Http.Connection connection, Http.Head head) throws Exception {
         byte[] body = connection.readBody(head);
-        if (!isSilent) {
-            byte[] answer = answer(head, body);
-            if (!isSilent) {
-                connection.out.write(answer);
-                connection.out.flush();
-                return true;
-            }
-        }
-        while (isSilent) Lab.sleep(100);
-        return false;
+        byte[] answer = isBusy ? json(503, "{}") : answer(head, body);
+        // A read that was waiting has done nothing; an append has, so its answer stays.
+        if (isBusy && head.method().equals("GET")) answer = json(503, "{}");
+        connection.out.write(answer);
+        connection.out.flush();
+        return true;
     }
 
     String address() {
